--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,108 @@
+// Package cli is the command line of kumquatworks. Each command lives in its
+// own file and registers itself in commands.
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// Exit codes of every command.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitUnknown  = 4
+)
+
+// ExitError carries an exit code with the message for the operator.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the message.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// Streams are the output streams of a command.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// command describes one entry of the command line. group is empty for a top-level command.
+type command struct {
+	group string
+	name  string
+	short string
+	long  string
+	// build returns the go-flags command; its Execute method runs the command.
+	build func(Streams) flags.Commander
+}
+
+// commands lists every command. Each command file appends its own in an init function.
+var commands []command
+
+func register(c command) { commands = append(commands, c) }
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	streams := Streams{Out: out, Err: errOut}
+	parser := flags.NewNamedParser("kumquatworks", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "layer-4 load balancer"
+	if err := addCommands(parser, streams); err != nil {
+		panic(err) // the command table is part of the program
+	}
+	_, err := parser.ParseArgs(args)
+	return report(err, streams)
+}
+
+func addCommands(parser *flags.Parser, streams Streams) error {
+	groups := map[string]*flags.Command{}
+	for _, c := range commands {
+		parent := parser.Command
+		if c.group != "" {
+			if groups[c.group] == nil {
+				g, err := parser.AddCommand(c.group, "test parts, not for production", "Stand-ins for outside systems, used by tests and the demo.", &struct{}{})
+				if err != nil {
+					return errors.Wrapf(err, "group %s", c.group)
+				}
+				groups[c.group] = g
+			}
+			parent = groups[c.group]
+		}
+		if _, err := parent.AddCommand(c.name, c.short, c.long, c.build(streams)); err != nil {
+			return errors.Wrapf(err, "command %s", c.name)
+		}
+	}
+	return nil
+}
+
+// report prints the error, if any, and maps it to an exit code.
+func report(err error, streams Streams) int {
+	if err == nil {
+		return ExitDone
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Fprintln(streams.Out, usage.Message)
+			return ExitDone
+		}
+		fmt.Fprintf(streams.Err, "kumquatworks: %s; see kumquatworks --help\n", usage.Message)
+		return ExitUsage
+	}
+	fmt.Fprintf(streams.Err, "kumquatworks: %s\n", err)
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/cli/version.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func init() {
+	register(command{
+		name:  "version",
+		short: "print the version",
+		long:  "Prints the version of the program. Example: kumquatworks version",
+		build: func(s Streams) flags.Commander { return &versionCommand{streams: s} },
+	})
+}
+
+type versionCommand struct {
+	streams Streams
+}
+
+// Execute prints the module version recorded in the binary.
+func (c *versionCommand) Execute([]string) error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	_, err := fmt.Fprintf(c.streams.Out, "kumquatworks %s\n", version)
+	return err
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,32 @@
+// Package state holds the flow table, the service table of each configuration
+// generation, and admission with the choice of a target.
+package state
+
+import (
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+// Strength tells how far a binding of a flow to a target can be trusted.
+type Strength uint8
+
+// Strengths of a binding, weakest first.
+const (
+	// StrengthWeak marks a binding learned from a return packet by a balancer that is neither owner nor backup.
+	StrengthWeak Strength = iota
+	// StrengthTentative marks a binding made by the owner that no caller packet has confirmed yet.
+	StrengthTentative
+	// StrengthConfirmed marks a binding for which a caller packet echoed the answer tag of the target.
+	StrengthConfirmed
+)
+
+// Binding is the transferable form of one flow table entry.
+type Binding struct {
+	Flow      protocol.FlowKey
+	Target    protocol.Endpoint
+	Strength  Strength
+	OpenerTag uint32
+	AnswerTag uint32
+	Idle      time.Duration
+}
