--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -19,6 +19,10 @@
 	FlowCapacity int
 	// IdleTimeout is how long a flow without packets is kept.
 	IdleTimeout time.Duration
+	// Shards, unless 0, overrides the number of deciders per service.
+	Shards int
+	// Variant selects the whole design or a reduced one for experiments.
+	Variant Variant
 	// Seed seeds the random choices.
 	Seed uint64
 }
--- /dev/null
+++ b/internal/state/rendezvous.go
@@ -0,0 +1,58 @@
+package state
+
+import (
+	"math"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+// FlowHash is the hash of a flow that all balancers agree on.
+func FlowHash(k protocol.FlowKey) uint64 {
+	b := k.Bytes()
+	return xxhash.Sum64(b[:])
+}
+
+// Mix combines two hashes into one with the finalizer of SplitMix64.
+func Mix(a, b uint64) uint64 {
+	x := a ^ bits.RotateLeft64(b*0x9e3779b97f4a7c15, 31)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Score is the weighted rendezvous score of a target for a flow; the highest wins.
+func Score(flow, target uint64, weight float64) float64 {
+	if weight <= 0 {
+		return 0
+	}
+	u := (float64(Mix(flow, target)>>11) + 0.5) / (1 << 53)
+	return weight / -math.Log(u)
+}
+
+// Choice returns the target that the table alone names for a flow: the
+// rendezvous choice over targets that do not drain, or over all when all drain.
+func (s *Service) Choice(flow uint64) *Target {
+	if t := s.choice(flow, false); t != nil {
+		return t
+	}
+	return s.choice(flow, true)
+}
+
+func (s *Service) choice(flow uint64, draining bool) *Target {
+	var best *Target
+	highest := -1.0
+	for _, t := range s.Targets {
+		if t.Drain && !draining {
+			continue
+		}
+		if score := Score(flow, t.Hash, float64(t.Weight)); score > highest {
+			best, highest = t, score
+		}
+	}
+	return best
+}
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -1,15 +1,165 @@
 package state
 
-import "github.com/kumquatworks/kumquatworks/internal/objects"
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+const (
+	// slotsPerShard is the number of slots that one decider serves before a
+	// service is split. Fewer deciders choose better, see the design page.
+	slotsPerShard = 4096
+	maxShards     = 64
+
+	defaultWeight      = 100
+	defaultOpenTimeout = time.Second
+)
+
+// Address is an endpoint together with its transport.
+type Address struct {
+	Endpoint  protocol.Endpoint
+	Transport uint8
+}
+
+// Target is one back end of a service in a table.
+type Target struct {
+	objects.Target
+	Endpoint protocol.Endpoint
+	Service  *Service
+	// Hash identifies the target's endpoint in rendezvous choices.
+	Hash uint64
+}
+
+// Service is one service of a table with its pool and targets.
+type Service struct {
+	objects.Service
+	Address     Address
+	Pool        objects.Pool
+	Targets     []*Target
+	OpenTimeout time.Duration
+	// Shards is the number of deciders of the service.
+	Shards int
+	// Hash identifies the service in the owner ring.
+	Hash uint64
+}
 
 // Table is the service table of one configuration generation. It is immutable.
 type Table struct {
 	Generation uint64
 	Digest     string
 	Set        objects.Set
+
+	services map[Address]*Service
+	targets  map[Address]*Target
 }
 
 // NewTable builds the service table of a checked configuration.
 func NewTable(generation uint64, digest string, set objects.Set) (*Table, error) {
-	return &Table{Generation: generation, Digest: digest, Set: set}, nil
+	t := &Table{
+		Generation: generation,
+		Digest:     digest,
+		Set:        set,
+		services:   make(map[Address]*Service, len(set.Services)),
+		targets:    make(map[Address]*Target, len(set.Targets)),
+	}
+	byPool := make(map[string]*Service, len(set.Services))
+	pools := make(map[string]objects.Pool, len(set.Pools))
+	for _, p := range set.Pools {
+		pools[p.Name] = p
+	}
+	for _, s := range set.Services {
+		svc, err := newService(s, pools)
+		if err != nil {
+			return nil, err
+		}
+		if _, taken := t.services[svc.Address]; taken {
+			return nil, errors.Errorf("service %s: address %s is used twice", s.Name, svc.Address.Endpoint)
+		}
+		if other, taken := byPool[s.Pool]; taken {
+			return nil, errors.Errorf("service %s: pool %s belongs to service %s", s.Name, s.Pool, other.Name)
+		}
+		t.services[svc.Address] = svc
+		byPool[s.Pool] = svc
+	}
+	for _, tgt := range set.Targets {
+		if err := t.addTarget(tgt, byPool[tgt.Pool]); err != nil {
+			return nil, err
+		}
+	}
+	for _, svc := range t.services {
+		svc.Shards = shardCount(len(svc.Targets) * int(svc.Pool.Slots))
+	}
+	return t, nil
+}
+
+func newService(s objects.Service, pools map[string]objects.Pool) (*Service, error) {
+	if !s.Address.Unmap().Is4() {
+		return nil, errors.Errorf("service %s: address %s is not IPv4", s.Name, s.Address)
+	}
+	pool, ok := pools[s.Pool]
+	if !ok {
+		return nil, errors.Errorf("service %s: no pool %s", s.Name, s.Pool)
+	}
+	svc := &Service{
+		Service:     s,
+		Pool:        pool,
+		OpenTimeout: time.Duration(s.OpenTimeoutMS) * time.Millisecond,
+		Hash:        xxhash.Sum64String(s.Name),
+	}
+	svc.Address.Endpoint = protocol.NewEndpoint(netip.AddrPortFrom(s.Address, s.Port))
+	svc.Address.Transport = s.Protocol.Transport()
+	if svc.OpenTimeout == 0 {
+		svc.OpenTimeout = defaultOpenTimeout
+	}
+	return svc, nil
+}
+
+func (t *Table) addTarget(o objects.Target, svc *Service) error {
+	if svc == nil {
+		return nil
+	}
+	if !o.Address.Unmap().Is4() {
+		return errors.Errorf("target %s: address %s is not IPv4", o.Name, o.Address)
+	}
+	if o.Weight == 0 {
+		o.Weight = defaultWeight
+	}
+	tgt := &Target{Target: o, Service: svc}
+	tgt.Endpoint = protocol.NewEndpoint(netip.AddrPortFrom(o.Address, o.Port))
+	tgt.Hash = xxhash.Sum64String(tgt.Endpoint.String())
+	address := Address{Endpoint: tgt.Endpoint, Transport: svc.Address.Transport}
+	if other, taken := t.targets[address]; taken {
+		return errors.Errorf("target %s: address %s belongs to target %s", o.Name, tgt.Endpoint, other.Name)
+	}
+	t.targets[address] = tgt
+	svc.Targets = append(svc.Targets, tgt)
+	return nil
+}
+
+func shardCount(slots int) int {
+	k := (slots + slotsPerShard - 1) / slotsPerShard
+	return min(max(k, 1), maxShards)
+}
+
+// Service returns the service at an address, or nil.
+func (t *Table) Service(a Address) *Service { return t.services[a] }
+
+// Target returns the target at an address, or nil.
+func (t *Table) Target(a Address) *Target { return t.targets[a] }
+
+// Services calls f for each service, in the order of the configuration.
+func (t *Table) Services(f func(*Service)) {
+	for _, s := range t.Set.Services {
+		a := Address{
+			Endpoint:  protocol.NewEndpoint(netip.AddrPortFrom(s.Address, s.Port)),
+			Transport: s.Protocol.Transport(),
+		}
+		f(t.services[a])
+	}
 }
