Add the platform client and the platform stand-in

Operator commands and balancers need a key-value service whose failures can be produced on purpose. The client tells failed writes from unknown ones: failed means no connection or a refusal, everything else without an answer is unknown. The stand-in names clients by the user name in the base URL, so that calls are counted and cut per client.

--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+)
+
+// stopTimeout bounds the graceful stop of a stand-in's HTTP server.
+const stopTimeout = 3 * time.Second
+
+// standinGroup is the command group of the stand-ins.
+const standinGroup = "standin"
+
+// untilSignal returns a context that ends at SIGTERM or SIGINT.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// newLogger returns the JSON-line logger of a stand-in.
+func newLogger(s Streams, caller string) log.Logger {
+	logger := log.NewJSONLogger(log.NewSyncWriter(s.Err))
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "caller", caller)
+}
+
+// serveHTTP serves until ctx ends and then stops gracefully.
+func serveHTTP(ctx context.Context, address string, handler http.Handler, logger log.Logger) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	requests, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: stopTimeout,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+	}
+	stopped := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		cancel() // ends waiting requests
+		shutdown, release := context.WithTimeout(context.Background(), stopTimeout)
+		defer release()
+		stopped <- server.Shutdown(shutdown)
+	}()
+	_ = logger.Log("level", "info", "op", "listen", "msg", "serving HTTP", "address", listener.Addr())
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.WithStack(err)
+	}
+	return errors.Wrap(<-stopped, "stop HTTP server")
+}
+
+// readJSON reads one JSON file and refuses unknown fields.
+func readJSON(path string, out any) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer file.Close()
+	decoder := json.NewDecoder(file)
+	decoder.DisallowUnknownFields()
+	return errors.Wrap(decoder.Decode(out), path)
+}
--- /dev/null
+++ b/internal/standin/platform/server_test.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+// fixture starts a platform with a clock that the test moves.
+func fixture(t *testing.T) (*Server, *platform.Client, *atomic.Int64) {
+	t.Helper()
+	clock := &atomic.Int64{}
+	server := NewServer(func() time.Time { return time.Unix(0, clock.Load()) }, nil)
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	return server, platform.NewClient(strings.Replace(web.URL, "http://", "http://vm-a@", 1)), clock
+}
+
+// Guards against a second writer overwriting the first.
+func TestCompareAndSwapRefusesAnOldRevision(t *testing.T) {
+	_, client, _ := fixture(t)
+	ctx := context.Background()
+	outcome, record, err := client.CompareAndSwap(ctx, "config/head", []byte("one"), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome, platform.WriteDone)
+	assert.Equal(t, record.Revision, uint64(1))
+	outcome, record, err = client.CompareAndSwap(ctx, "config/head", []byte("two"), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome, platform.WriteConflict)
+	assert.Equal(t, string(record.Value), "one")
+	record, err = client.Get(ctx, "config/head")
+	assert.NilError(t, err)
+	assert.Equal(t, string(record.Value), "one")
+}
+
+// Guards against an operator being told that a write failed although it took
+// effect, or that it is unknown although it cannot have happened.
+func TestWriteOutcomeOfEachFault(t *testing.T) {
+	server, client, _ := fixture(t)
+	ctx := context.Background()
+	write := func(value []byte) platform.WriteOutcome {
+		outcome, _, err := client.CompareAndSwap(ctx, "k", value, 0)
+		assert.Assert(t, err != nil)
+		return outcome
+	}
+	server.Set(Switches{Refuse: true})
+	assert.Equal(t, write([]byte("v")), platform.WriteFailed)
+	server.Set(Switches{Outage: true})
+	assert.Equal(t, write([]byte("v")), platform.WriteUnknown)
+	assert.Equal(t, write(bytes.Repeat([]byte("v"), platform.MaxValueBytes+1)), platform.WriteFailed)
+	assert.Equal(t, server.store.get("k", 0).Revision, uint64(0))
+	server.Set(Switches{LoseAnswers: 1})
+	assert.Equal(t, write([]byte("v")), platform.WriteUnknown)
+	assert.Equal(t, server.store.get("k", 0).Revision, uint64(1))
+	nobody := platform.NewClient("http://127.0.0.1:1")
+	outcome, _, err := nobody.CompareAndSwap(ctx, "k", nil, 0)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, outcome, platform.WriteFailed)
+}
+
+// Guards against a watch that misses a write, or costs more than one call while it waits.
+func TestWatchReturnsTheNextWrite(t *testing.T) {
+	server, client, _ := fixture(t)
+	ctx := context.Background()
+	got := make(chan platform.Record, 1)
+	go func() {
+		record, _ := client.Watch(ctx, "k", 1)
+		got <- record
+	}()
+	for server.counts.snapshot().Pending["watch"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	server.store.compareAndSwap("k", []byte("1"), 0)
+	server.store.compareAndSwap("other", []byte("x"), 0)
+	server.store.compareAndSwap("k", []byte("2"), 1)
+	assert.Equal(t, string((<-got).Value), "2")
+	counts := server.counts.snapshot()
+	assert.Equal(t, counts.ByKind["watch"], uint64(1))
+	assert.Equal(t, counts.ByClient["vm-a"], uint64(1))
+}
+
+// Guards against a cut or an outage that leaves pending watches connected.
+func TestCutEndsPendingWatches(t *testing.T) {
+	server, client, _ := fixture(t)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Watch(context.Background(), "k", 0)
+		failed <- err
+	}()
+	for server.counts.snapshot().Pending["watch"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	server.Set(Switches{Cut: []string{"vm-a"}})
+	assert.Assert(t, <-failed != nil)
+}
+
+// Guards against two holders of one lease with the same fence.
+func TestLeaseFenceGrowsWithEachHolder(t *testing.T) {
+	_, client, clock := fixture(t)
+	ctx := context.Background()
+	acquire := func(holder string) platform.Lease {
+		lease, err := client.AcquireLease(ctx, "reader", holder, time.Second)
+		assert.NilError(t, err)
+		return lease
+	}
+	first := acquire("a")
+	assert.Equal(t, acquire("b").Holder, "a")
+	assert.Equal(t, acquire("a").Fence, first.Fence)
+	clock.Add(int64(time.Second))
+	second := acquire("b")
+	assert.Equal(t, second.Holder, "b")
+	assert.Assert(t, second.Fence > first.Fence)
+}
+
+// Guards against stale reads and list lag that have no effect, which would make
+// the scenarios that rely on them pass without testing anything.
+func TestStaleReadsAndListLag(t *testing.T) {
+	server, client, clock := fixture(t)
+	ctx := context.Background()
+	server.store.compareAndSwap("k", []byte("old"), 0)
+	server.store.compareAndSwap("k", []byte("new"), 1)
+	server.Set(Switches{StaleRevisions: 1, VMLagMS: 1000})
+	record, err := client.Get(ctx, "k")
+	assert.NilError(t, err)
+	assert.Equal(t, string(record.Value), "old")
+	server.PutVM(platform.VM{Name: "vm-1"})
+	vms, err := client.VMs(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(vms), 0)
+	clock.Add(int64(time.Second))
+	vms, err = client.VMs(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(vms), 1)
+}
