Add the packet codec

Decoding classifies TCP, UDP, QUIC v1 and v2 (coalesced packets and 0-RTT included) and ICMP port unreachable messages without allocation. Rewriting updates checksums incrementally, since a full computation would hide damage to a packet. 0-RTT removal moves later packets up and fills the end with zeros: a receiver stops at the first bytes that are no QUIC packet.

The relay hash covers the digest of the inner packet together with the hop count, which needs no copy of the packet.

--- /dev/null
+++ b/internal/protocol/decode.go
@@ -0,0 +1,153 @@
+package protocol
+
+import (
+	"encoding/binary"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+)
+
+// ICMP type and code of a port unreachable message.
+const (
+	icmpTypeUnreachable = 3
+	icmpCodePort        = 3
+	icmpHeaderBytes     = 8
+	quotedPortBytes     = 4
+	ipv4HeaderBytes     = 20
+)
+
+// Decoder decodes inner IPv4 packets without allocation. It is not safe for
+// concurrent use; each reader has its own.
+type Decoder struct {
+	parser  *gopacket.DecodingLayerParser
+	decoded []gopacket.LayerType
+	ip      layers.IPv4
+	tcp     layers.TCP
+	udp     layers.UDP
+	icmp    layers.ICMPv4
+}
+
+// NewDecoder returns a decoder.
+func NewDecoder() *Decoder {
+	d := &Decoder{decoded: make([]gopacket.LayerType, 0, 4)}
+	d.parser = gopacket.NewDecodingLayerParser(layers.LayerTypeIPv4, &d.ip, &d.tcp, &d.udp, &d.icmp)
+	d.parser.IgnoreUnsupported = true
+	return d
+}
+
+// Decode returns the view of an inner packet. The error is a DropError.
+//
+// The tag of a QUIC long-header packet is the start of its destination
+// connection ID and SourceTag the start of its source connection ID, since the
+// direction of a packet is not visible in it. An ICMP message has the endpoints
+// of the flow that it is about, with the sender of the message as Source.
+func (d *Decoder) Decode(inner []byte) (Packet, error) {
+	if len(inner) < ipv4HeaderBytes || inner[0]>>4 != 4 {
+		return Packet{}, ErrIPv4Header
+	}
+	d.ip.Length, d.ip.FragOffset, d.ip.Flags, d.ip.Protocol = 0, 0, 0, 0
+	err := d.parser.DecodeLayers(inner, &d.decoded)
+	if len(d.decoded) == 0 {
+		return Packet{}, ErrIPv4Header
+	}
+	if d.ip.FragOffset != 0 || d.ip.Flags&layers.IPv4MoreFragments != 0 {
+		return Packet{}, ErrFragment
+	}
+	if int(d.ip.Length) > len(inner) {
+		return Packet{}, ErrIPv4Header
+	}
+	if len(d.decoded) < 2 {
+		return Packet{}, d.transportError()
+	}
+	if err != nil || d.parser.Truncated {
+		return Packet{}, ErrTransportHeader
+	}
+	return d.packet()
+}
+
+func (d *Decoder) transportError() DropError {
+	switch uint8(d.ip.Protocol) {
+	case TransportTCP, TransportUDP, TransportICMP:
+		return ErrTransportHeader
+	}
+	return ErrTransport
+}
+
+func (d *Decoder) packet() (Packet, error) {
+	p := Packet{Transport: uint8(d.ip.Protocol)}
+	copy(p.Source.IP[:], d.ip.SrcIP)
+	copy(p.Destination.IP[:], d.ip.DstIP)
+	switch d.decoded[1] {
+	case layers.LayerTypeTCP:
+		return p, d.classifyTCP(&p)
+	case layers.LayerTypeUDP:
+		return p, d.classifyUDP(&p)
+	case layers.LayerTypeICMPv4:
+		return p, d.classifyICMP(&p)
+	}
+	return Packet{}, ErrTransport
+}
+
+func (d *Decoder) classifyTCP(p *Packet) error {
+	t := &d.tcp
+	if t.SYN && (t.FIN || t.RST) {
+		return ErrTCPFlags
+	}
+	p.Source.Port = uint16(t.SrcPort)
+	p.Destination.Port = uint16(t.DstPort)
+	p.PayloadBytes = len(t.Payload)
+	p.Tag, p.HasTag = t.Ack, t.ACK
+	switch {
+	case t.RST:
+		p.Kind = KindReset
+	case t.SYN && t.ACK:
+		p.Kind = KindOpenerAnswer
+		p.Tag = t.Seq + 1
+	case t.SYN:
+		p.Kind = KindOpener
+		p.Tag, p.HasTag = t.Seq, true
+		p.SynData = len(t.Payload) > 0
+	case t.FIN:
+		p.Kind = KindFin
+	}
+	return nil
+}
+
+func (d *Decoder) classifyUDP(p *Packet) error {
+	// The library takes length 0 as an IPv6 jumbogram.
+	if d.udp.Length < udpHeaderBytes {
+		return ErrTransportHeader
+	}
+	p.Source.Port = uint16(d.udp.SrcPort)
+	p.Destination.Port = uint16(d.udp.DstPort)
+	p.PayloadBytes = len(d.udp.Payload)
+	classifyQUIC(p, d.udp.Payload)
+	return nil
+}
+
+// classifyICMP reads the flow from the quoted packet. Its source is the
+// destination of the message.
+func (d *Decoder) classifyICMP(p *Packet) error {
+	if d.icmp.TypeCode.Type() != icmpTypeUnreachable || d.icmp.TypeCode.Code() != icmpCodePort {
+		return ErrICMP
+	}
+	quoted := d.icmp.Payload
+	if len(quoted) < ipv4HeaderBytes || quoted[0]>>4 != 4 {
+		return ErrICMP
+	}
+	header := int(quoted[0]&0x0f) * 4
+	if header < ipv4HeaderBytes || len(quoted) < header+quotedPortBytes {
+		return ErrICMP
+	}
+	p.Transport = quoted[9]
+	if p.Transport != TransportTCP && p.Transport != TransportUDP {
+		return ErrICMP
+	}
+	if [4]byte(quoted[12:16]) != p.Destination.IP || [4]byte(quoted[16:20]) != p.Source.IP {
+		return ErrICMP
+	}
+	p.Kind = KindUnreachable
+	p.Destination.Port = binary.BigEndian.Uint16(quoted[header:])
+	p.Source.Port = binary.BigEndian.Uint16(quoted[header+2:])
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/fuzz_test.go
@@ -0,0 +1,78 @@
+package protocol
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// seeds are packets of each kind for the fuzz targets.
+func seeds() [][]byte {
+	initial := quicLong(quicVersion1, 0, 1, 2, 40)
+	early := quicLong(quicVersion1, 1, 1, 2, 9)
+	opener := BuildUDP(caller, service, join(initial, early))
+	p, err := NewDecoder().Decode(opener)
+	if err != nil {
+		panic(err)
+	}
+	return [][]byte{
+		opener,
+		BuildUDP(caller, service, []byte("\x40abcdef")),
+		BuildTCP(caller, service, Segment{Seq: 1, SYN: true}),
+		BuildTCP(target, caller, Segment{Seq: 1, Ack: 2, SYN: true, ACK: true}),
+		BuildUnreachable(opener, p),
+		{0x46, 0, 0, 24, 0, 0, 0, 0, 9, 17, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 1, 1, 1, 1},
+	}
+}
+
+// Guards against a packet that stops the process in decoding, rewriting,
+// 0-RTT removal, refusal or cancellation, and against a rewrite that changes
+// anything but the endpoint.
+func FuzzDecode(f *testing.F) {
+	for _, s := range seeds() {
+		f.Add(s)
+	}
+	d := NewDecoder()
+	f.Fuzz(func(t *testing.T, inner []byte) {
+		p, err := d.Decode(inner)
+		if err != nil {
+			return
+		}
+		if p.Kind == KindOpener {
+			BuildRefusal(inner, p)
+		}
+		BuildCancel(inner, p, target)
+		RewriteDestination(inner, target)
+		got, err := d.Decode(inner)
+		assert.NilError(t, err)
+		want := p
+		want.Destination = target
+		assert.DeepEqual(t, got, want)
+		if p.ZeroRTT && StripZeroRTT(inner) == nil {
+			got, err = d.Decode(inner)
+			assert.NilError(t, err)
+			assert.Assert(t, !got.ZeroRTT)
+		}
+	})
+}
+
+// Guards against a datagram that stops the process, and against a relayed
+// packet that is accepted with another content than the one that was hashed.
+func FuzzDecodeGRE(f *testing.F) {
+	for _, s := range seeds() {
+		f.Add(AppendGRE(nil, s))
+		f.Add(AppendRelay(nil, s, 1, key))
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		inner, hops, relayed, err := DecodeGRE(datagram, key)
+		if err != nil {
+			return
+		}
+		again := AppendGRE(nil, inner)
+		if relayed {
+			again = AppendRelay(nil, inner, hops, key)
+		}
+		assert.Assert(t, bytes.Equal(again, datagram))
+	})
+}
--- /dev/null
+++ b/internal/protocol/gre.go
@@ -0,0 +1,97 @@
+package protocol
+
+import (
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/dchest/siphash"
+)
+
+// Sizes and limits of the GRE-in-UDP encapsulation (RFC 8086).
+const (
+	// GREHeaderBytes is the length of the header without key.
+	GREHeaderBytes = 4
+	// RelayHeaderBytes is the length of the header with key.
+	RelayHeaderBytes = 8
+	// MaxHops is the largest number of relays that a packet may take.
+	MaxHops = 2
+	// RelayKeyBytes is the length of a SipHash-2-4 key.
+	RelayKeyBytes = 16
+)
+
+const (
+	greKeyPresent = 0x20
+	greIPv4       = 0x0800
+	relayHopShift = 30
+	relayHashMask = 1<<relayHopShift - 1
+)
+
+// NewRelayKey derives the key of relayed packets from the fleet key, so that
+// the fleet key itself serves only the authentication of control messages.
+func NewRelayKey(fleetKey []byte) ([]byte, error) {
+	return hkdf.Key(sha256.New, fleetKey, nil, "kumquatworks relay", RelayKeyBytes)
+}
+
+// AppendGRE appends inner with a GRE header without key, as the fabric sends and receives it.
+func AppendGRE(dst, inner []byte) []byte {
+	dst = append(dst, 0, 0)
+	dst = binary.BigEndian.AppendUint16(dst, greIPv4)
+	return append(dst, inner...)
+}
+
+// AppendRelay appends inner with a GRE header whose key field holds the hop
+// count (1 to MaxHops) and the truncated hash. key comes from NewRelayKey.
+func AppendRelay(dst, inner []byte, hops uint8, key []byte) []byte {
+	dst = append(dst, greKeyPresent, 0)
+	dst = binary.BigEndian.AppendUint16(dst, greIPv4)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(hops)<<relayHopShift|relayHash(inner, hops, key))
+	return append(dst, inner...)
+}
+
+// DecodeGRE returns the inner packet of a datagram, as a part of datagram. A
+// packet without key is from the fabric and has no hops; a packet with key was
+// relayed by a peer and is authenticated with key.
+func DecodeGRE(datagram []byte, key []byte) (inner []byte, hops uint8, relayed bool, err error) {
+	if len(datagram) < GREHeaderBytes {
+		return nil, 0, false, ErrGREHeader
+	}
+	if datagram[1] != 0 || binary.BigEndian.Uint16(datagram[2:]) != greIPv4 {
+		return nil, 0, false, ErrGREHeader
+	}
+	switch datagram[0] {
+	case 0:
+		return datagram[GREHeaderBytes:], 0, false, nil
+	case greKeyPresent:
+		return decodeRelay(datagram, key)
+	}
+	return nil, 0, false, ErrGREHeader
+}
+
+func decodeRelay(datagram, key []byte) (inner []byte, hops uint8, relayed bool, err error) {
+	if len(datagram) < RelayHeaderBytes {
+		return nil, 0, true, ErrGREHeader
+	}
+	field := binary.BigEndian.Uint32(datagram[GREHeaderBytes:])
+	hops = uint8(field >> relayHopShift)
+	inner = datagram[RelayHeaderBytes:]
+	if hops == 0 || hops > MaxHops {
+		return nil, hops, true, ErrRelayHops
+	}
+	if field&relayHashMask != relayHash(inner, hops, key) {
+		return nil, hops, true, ErrRelayHash
+	}
+	return inner, hops, true, nil
+}
+
+// relayHash covers the hop count and the inner packet. The inner packet is
+// hashed first and its digest with the hop count second, which needs no copy of
+// the packet.
+func relayHash(inner []byte, hops uint8, key []byte) uint32 {
+	k0 := binary.LittleEndian.Uint64(key)
+	k1 := binary.LittleEndian.Uint64(key[8:])
+	var second [9]byte
+	second[0] = hops
+	binary.LittleEndian.PutUint64(second[1:], siphash.Hash(k0, k1, inner))
+	return uint32(siphash.Hash(k0, k1, second[:])) & relayHashMask
+}
--- /dev/null
+++ b/internal/protocol/quic.go
@@ -0,0 +1,154 @@
+package protocol
+
+import "encoding/binary"
+
+// QUIC versions whose packet types are known (RFC 9000, RFC 9369).
+const (
+	quicVersion1 = 0x00000001
+	quicVersion2 = 0x6b3343cf
+)
+
+const (
+	quicLongHeader = 0x80
+	quicFixedBit   = 0x40
+	quicMaxConnID  = 20
+	tagBytes       = 4
+)
+
+type quicType uint8
+
+const (
+	quicInitial quicType = iota
+	quicZeroRTT
+	quicHandshake
+	quicRetry
+)
+
+// quicTypes maps the two type bits of a long header, by version.
+var (
+	quicTypesV1 = [4]quicType{quicInitial, quicZeroRTT, quicHandshake, quicRetry}
+	quicTypesV2 = [4]quicType{quicRetry, quicInitial, quicZeroRTT, quicHandshake}
+)
+
+// quicPacket is one long-header packet of a datagram.
+type quicPacket struct {
+	kind quicType
+	// destination and source are the connection IDs.
+	destination []byte
+	source      []byte
+	// length is the number of bytes that the packet takes in the datagram.
+	length int
+}
+
+// parseQUIC reads the long-header packet at the start of data. It reports false
+// for anything else, including versions whose packet types are unknown.
+func parseQUIC(data []byte) (quicPacket, bool) {
+	var p quicPacket
+	if len(data) < 7 || data[0]&quicLongHeader == 0 {
+		return p, false
+	}
+	typeBits := data[0] >> 4 & 0x03
+	switch binary.BigEndian.Uint32(data[1:]) {
+	case quicVersion1:
+		p.kind = quicTypesV1[typeBits]
+	case quicVersion2:
+		p.kind = quicTypesV2[typeBits]
+	default:
+		return p, false
+	}
+	rest, ok := data[5:], false
+	if p.destination, rest, ok = connectionID(rest); !ok {
+		return p, false
+	}
+	if p.source, rest, ok = connectionID(rest); !ok {
+		return p, false
+	}
+	if p.kind == quicRetry {
+		p.length = len(data)
+		return p, true
+	}
+	if p.kind == quicInitial {
+		if rest, ok = skipToken(rest); !ok {
+			return p, false
+		}
+	}
+	payload, size := varint(rest)
+	if size == 0 || payload > uint64(len(rest)-size) {
+		return p, false
+	}
+	p.length = len(data) - len(rest) + size + int(payload)
+	return p, true
+}
+
+func connectionID(data []byte) (id, rest []byte, ok bool) {
+	if len(data) == 0 || data[0] > quicMaxConnID || len(data) < 1+int(data[0]) {
+		return nil, nil, false
+	}
+	end := 1 + int(data[0])
+	return data[1:end], data[end:], true
+}
+
+func skipToken(data []byte) ([]byte, bool) {
+	length, size := varint(data)
+	if size == 0 || length > uint64(len(data)-size) {
+		return nil, false
+	}
+	return data[size+int(length):], true
+}
+
+// varint reads a QUIC variable-length integer and its size, or size 0 when data is short.
+func varint(data []byte) (value uint64, size int) {
+	if len(data) == 0 {
+		return 0, 0
+	}
+	size = 1 << (data[0] >> 6)
+	if len(data) < size {
+		return 0, 0
+	}
+	value = uint64(data[0] & 0x3f)
+	for _, b := range data[1:size] {
+		value = value<<8 | uint64(b)
+	}
+	return value, size
+}
+
+// classifyQUIC fills kind, tags and ZeroRTT from a UDP payload. A datagram with
+// an Initial is an opener, wherever the Initial stands in it.
+func classifyQUIC(p *Packet, payload []byte) {
+	first, ok := parseQUIC(payload)
+	if !ok {
+		classifyShort(p, payload)
+		return
+	}
+	p.Kind = KindHandshake
+	p.Tag, p.HasTag = tag(first.destination)
+	p.SourceTag, _ = tag(first.source)
+	for ok {
+		if first.kind == quicInitial {
+			p.Kind = KindOpener
+		}
+		if first.kind == quicZeroRTT {
+			p.ZeroRTT = true
+		}
+		payload = payload[first.length:]
+		first, ok = parseQUIC(payload)
+	}
+}
+
+// classifyShort handles a payload without a long header of a known version. A
+// datagram of another protocol that has the bits of a short header counts as
+// one; the service decides whether that matters.
+func classifyShort(p *Packet, payload []byte) {
+	p.Kind = KindDatagram
+	if len(payload) > tagBytes && payload[0]&(quicLongHeader|quicFixedBit) == quicFixedBit {
+		p.Kind = KindData
+		p.Tag, p.HasTag = tag(payload[1:])
+	}
+}
+
+func tag(connID []byte) (uint32, bool) {
+	if len(connID) < tagBytes {
+		return 0, false
+	}
+	return binary.BigEndian.Uint32(connID), true
+}
--- /dev/null
+++ b/internal/protocol/rewrite.go
@@ -0,0 +1,134 @@
+package protocol
+
+import "encoding/binary"
+
+// Offsets of fields in the IPv4, TCP, UDP and ICMP headers.
+const (
+	ipv4ProtocolOffset    = 9
+	ipv4ChecksumOffset    = 10
+	ipv4SourceOffset      = 12
+	ipv4DestinationOffset = 16
+	sourcePortOffset      = 0
+	destinationPortOffset = 2
+	tcpSeqOffset          = 4
+	tcpAckOffset          = 8
+	tcpChecksumOffset     = 16
+	udpLengthOffset       = 4
+	udpChecksumOffset     = 6
+	udpHeaderBytes        = 8
+	icmpChecksumOffset    = 2
+)
+
+// end tells which endpoint of a packet a rewrite changes.
+type end struct {
+	address int
+	port    int
+}
+
+var (
+	sourceEnd      = end{address: ipv4SourceOffset, port: sourcePortOffset}
+	destinationEnd = end{address: ipv4DestinationOffset, port: destinationPortOffset}
+)
+
+// RewriteDestination sets the destination of a packet that Decode accepted, in
+// place, and updates its checksums. In an ICMP message the quoted source changes too.
+func RewriteDestination(inner []byte, to Endpoint) {
+	rewrite(inner, to, destinationEnd, sourceEnd)
+}
+
+// RewriteSource sets the source of a packet that Decode accepted, in place, and
+// updates its checksums. In an ICMP message the quoted destination changes too.
+func RewriteSource(inner []byte, to Endpoint) {
+	rewrite(inner, to, sourceEnd, destinationEnd)
+}
+
+func rewrite(inner []byte, to Endpoint, outer, quoted end) {
+	segment := transportPart(inner)
+	delta := setAddress(inner, outer, to)
+	switch inner[ipv4ProtocolOffset] {
+	case TransportTCP:
+		setPort(segment, outer, to, &delta)
+		updateField(segment[tcpChecksumOffset:], delta)
+	case TransportUDP:
+		setPort(segment, outer, to, &delta)
+		updateUDPField(segment[udpChecksumOffset:], delta)
+	case TransportICMP:
+		rewriteQuoted(segment, quoted, to)
+	}
+}
+
+// transportPart returns the packet behind the IPv4 header.
+func transportPart(inner []byte) []byte {
+	return inner[int(inner[0]&0x0f)*4:]
+}
+
+// setAddress changes the address and the header checksum and returns the change
+// for the checksum of the transport, whose pseudo header has the address too.
+func setAddress(packet []byte, e end, to Endpoint) checksumDelta {
+	var delta checksumDelta
+	field := packet[e.address : e.address+4]
+	delta.replaceIP(field, to.IP[:])
+	copy(field, to.IP[:])
+	updateField(packet[ipv4ChecksumOffset:], delta)
+	return delta
+}
+
+func setPort(segment []byte, e end, to Endpoint, delta *checksumDelta) {
+	field := segment[e.port:]
+	delta.replaceWord(binary.BigEndian.Uint16(field), to.Port)
+	binary.BigEndian.PutUint16(field, to.Port)
+}
+
+// rewriteQuoted changes the packet quoted by an ICMP message. The quoted
+// transport checksum is left as it is: receivers match on the ports, and the
+// quoted part need not include it.
+func rewriteQuoted(message []byte, e end, to Endpoint) {
+	packet := message[icmpHeaderBytes:]
+	before := binary.BigEndian.Uint16(packet[ipv4ChecksumOffset:])
+	delta := setAddress(packet, e, to)
+	delta.replaceWord(before, binary.BigEndian.Uint16(packet[ipv4ChecksumOffset:]))
+	setPort(transportPart(packet), e, to, &delta)
+	updateField(message[icmpChecksumOffset:], delta)
+}
+
+// StripZeroRTT removes QUIC 0-RTT packets from a UDP packet that Decode
+// accepted, in place. Later packets of the datagram move up and zeros fill the
+// end, because an Initial datagram must keep its 1,200 bytes. A receiver
+// discards the zeros, since they lack the fixed bit of a QUIC packet. It
+// returns ErrZeroRTTOnly when no other packet is left.
+func StripZeroRTT(inner []byte) error {
+	segment := transportPart(inner)
+	payload := segment[udpHeaderBytes:binary.BigEndian.Uint16(segment[udpLengthOffset:])]
+	before := sumWords(payload)
+	kept, packets := keepOthers(payload)
+	if packets == 0 {
+		return ErrZeroRTTOnly
+	}
+	clear(payload[kept:])
+	var delta checksumDelta
+	delta.replaceWord(fold(before), fold(sumWords(payload)))
+	updateUDPField(segment[udpChecksumOffset:], delta)
+	return nil
+}
+
+// keepOthers moves all but the 0-RTT packets to the start of payload and returns
+// their length and number. What follows the last long-header packet is kept; it
+// is a short-header packet or padding.
+func keepOthers(payload []byte) (kept, packets int) {
+	rest := payload
+	for {
+		p, ok := parseQUIC(rest)
+		if !ok {
+			break
+		}
+		if p.kind != quicZeroRTT {
+			kept += copy(payload[kept:], rest[:p.length])
+			packets++
+		}
+		rest = rest[p.length:]
+	}
+	if len(rest) > 0 && rest[0]&quicFixedBit != 0 {
+		packets++
+	}
+	return kept + copy(payload[kept:], rest), packets
+}
