--- /dev/null
+++ b/internal/telemetry/trace.go
@@ -0,0 +1,150 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+// spanFlush is how long a finished span waits before it is written. Spans beyond
+// the queue of the batch processor are lost, so that traces never delay packets.
+const spanFlush = time.Second
+
+// Names of spans. A packet has one ingress span and one relay span per relay;
+// the other two are their children.
+const (
+	SpanIngress  = "ingress"
+	SpanRelay    = "relay"
+	SpanDecision = "owner decision"
+	SpanTarget   = "target"
+)
+
+// Hop is what one balancer did with one packet.
+type Hop struct {
+	Flow protocol.FlowKey
+	// Hops is the number of relays before this balancer.
+	Hops   uint8
+	Start  time.Time
+	End    time.Time
+	Action string
+	Reason string
+	// Owner reports that this balancer decided as owner of the flow.
+	Owner bool
+	// Target is the target of a forwarded packet, or zero.
+	Target protocol.Endpoint
+	// Peer is the address of the next balancer of a relayed packet, or empty.
+	Peer string
+}
+
+// Tracer writes spans of a share of the flows.
+type Tracer struct {
+	provider  *sdktrace.TracerProvider
+	tracer    trace.Tracer
+	threshold uint64
+}
+
+// NewTracer returns a tracer that writes JSON lines to w. share is the share of
+// all flows, 0 to 1. Each balancer selects the same flows.
+func NewTracer(w io.Writer, share float64, vm, place string) (*Tracer, error) {
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(w))
+	if err != nil {
+		return nil, errors.Wrap(err, "trace exporter")
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter, sdktrace.WithBatchTimeout(spanFlush)),
+		sdktrace.WithSampler(sdktrace.AlwaysSample()),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "kumquatworks"),
+			attribute.String("vm", vm),
+			attribute.String("place", place),
+		)),
+	)
+	return &Tracer{provider: provider, tracer: provider.Tracer("kumquatworks"), threshold: threshold(share)}, nil
+}
+
+// threshold maps a share to the bound of a 64-bit hash. 0 selects no flow.
+func threshold(share float64) uint64 {
+	if share >= 1 {
+		return math.MaxUint64
+	}
+	return uint64(share * (1 << 63) * 2)
+}
+
+// Enabled reports whether any flow is traced. A nil tracer traces none.
+func (t *Tracer) Enabled() bool { return t != nil && t.threshold > 0 }
+
+// Sampled reports whether a flow is traced.
+func (t *Tracer) Sampled(flow protocol.FlowKey) bool {
+	return t.Enabled() && state.FlowHash(flow) <= t.threshold
+}
+
+// Record writes the spans of a hop. The trace ID follows from the flow, so that
+// the spans of all balancers join without a field in the packet.
+func (t *Tracer) Record(h Hop) {
+	name := SpanIngress
+	if h.Hops > 0 {
+		name = SpanRelay
+	}
+	ctx, span := t.start(flowContext(h.Flow), name, h.Start)
+	span.SetAttributes(
+		attribute.String("caller", h.Flow.Caller.String()),
+		attribute.String("service", h.Flow.Service.String()),
+		attribute.Int("hops", int(h.Hops)),
+		attribute.String("action", h.Action),
+		attribute.String("reason", h.Reason),
+	)
+	if h.Peer != "" {
+		span.SetAttributes(attribute.String("peer", h.Peer))
+	}
+	if h.Owner {
+		_, decision := t.start(ctx, SpanDecision, h.Start)
+		decision.SetAttributes(attribute.String("reason", h.Reason))
+		decision.End(trace.WithTimestamp(h.End))
+	}
+	if !h.Target.IsZero() {
+		_, target := t.start(ctx, SpanTarget, h.End)
+		target.SetAttributes(attribute.String("target", h.Target.String()))
+		target.End(trace.WithTimestamp(h.End))
+	}
+	span.End(trace.WithTimestamp(h.End))
+}
+
+// Close writes the spans that wait.
+func (t *Tracer) Close(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	return errors.Wrap(t.provider.Shutdown(ctx), "write traces")
+}
+
+func (t *Tracer) start(ctx context.Context, name string, at time.Time) (context.Context, trace.Span) {
+	return t.tracer.Start(ctx, name, trace.WithTimestamp(at))
+}
+
+// flowContext returns a context whose parent span stands for the whole flow.
+func flowContext(flow protocol.FlowKey) context.Context {
+	hash := state.FlowHash(flow)
+	var id trace.TraceID
+	binary.BigEndian.PutUint64(id[:], hash)
+	binary.BigEndian.PutUint64(id[8:], state.Mix(hash, 1))
+	var span trace.SpanID
+	binary.BigEndian.PutUint64(span[:], state.Mix(hash, 2))
+	return trace.ContextWithRemoteSpanContext(context.Background(), trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID:    id,
+		SpanID:     span,
+		TraceFlags: trace.FlagsSampled,
+		Remote:     true,
+	}))
+}
