--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,7 +98,7 @@
 			FreezeGap:  1000,
 			ViewWait:   500,
 			Tick:       100,
-			LeaveQuiet: 1000,
+			LeaveQuiet: 2000,
 			LeaveLimit: 30_000,
 		},
 	}
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -29,7 +29,16 @@
 
 // Add adds n to the counter of a group and a name.
 func (s *CounterSet) Add(group, name string, n int64) {
-	s.counter(counterKey{group, name}).Add(n)
+	s.Counter(group, name).Add(n)
+}
+
+// Counter returns the counter of a group and a name.
+func (s *CounterSet) Counter(group, name string) *expvar.Int {
+	k := counterKey{group, name}
+	if c := (*s.counters.Load())[k]; c != nil {
+		return c
+	}
+	return s.create(k)
 }
 
 // Value returns the counter of a group and a name.
@@ -51,13 +60,6 @@
 	}
 }
 
-func (s *CounterSet) counter(k counterKey) *expvar.Int {
-	if c := (*s.counters.Load())[k]; c != nil {
-		return c
-	}
-	return s.create(k)
-}
-
 // create replaces the map by a copy with one more counter, so that readers need no lock.
 func (s *CounterSet) create(k counterKey) *expvar.Int {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/transport/balancer_test.go
@@ -0,0 +1,152 @@
+package transport
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+// Guards against an outcome that is not carried out as decided.
+func TestOutcomes(t *testing.T) {
+	core := &fakeCore{}
+	h := newHarness(t, core)
+	h.run()
+	decoder := protocol.NewDecoder()
+	view := func(datagram []byte) protocol.Packet {
+		inner, _, relayed, err := protocol.DecodeGRE(datagram, h.b.relayKey)
+		assert.NilError(t, err)
+		assert.Assert(t, !relayed)
+		p, err := decoder.Decode(inner)
+		assert.NilError(t, err)
+		return p
+	}
+	toBalancer := protocol.AppendGRE(nil, syn)
+
+	core.decide(coordination.Decision{Action: coordination.ActionForward, Endpoint: target})
+	h.send(h.fabric, toBalancer)
+	p := view(h.receive(h.fabric))
+	assert.Assert(t, p.Source == caller && p.Destination == target && p.Kind == protocol.KindOpener)
+
+	core.decide(coordination.Decision{Action: coordination.ActionReturn, Endpoint: service})
+	h.send(h.fabric, protocol.AppendGRE(nil, protocol.BuildTCP(target, caller, protocol.Segment{ACK: true})))
+	p = view(h.receive(h.fabric))
+	assert.Assert(t, p.Source == service && p.Destination == caller)
+
+	core.decide(coordination.Decision{Action: coordination.ActionRefuse})
+	h.send(h.fabric, toBalancer)
+	p = view(h.receive(h.fabric))
+	assert.Assert(t, p.Source == service && p.Destination == caller && p.Kind == protocol.KindReset)
+
+	core.decide(coordination.Decision{Action: coordination.ActionForward, Endpoint: target, Cancel: protocol.Endpoint{Port: 9}})
+	h.send(h.fabric, toBalancer)
+	p = view(h.receive(h.fabric))
+	assert.Assert(t, p.Destination.Port == 9 && p.Kind == protocol.KindReset)
+	p = view(h.receive(h.fabric))
+	assert.Assert(t, p.Destination == target && p.Kind == protocol.KindOpener)
+
+	core.decide(coordination.Decision{Action: coordination.ActionRelay, Peer: addressOf(h.peer)})
+	h.send(h.fabric, toBalancer)
+	first := h.receive(h.peer)
+	inner, hops, relayed, err := protocol.DecodeGRE(first, h.b.relayKey)
+	assert.NilError(t, err)
+	assert.Assert(t, relayed && hops == 1 && bytes.Equal(inner, syn))
+	h.send(h.peer, first)
+	second := h.receive(h.peer)
+	_, hops, _, err = protocol.DecodeGRE(second, h.b.relayKey)
+	assert.NilError(t, err)
+	assert.Equal(t, hops, uint8(2))
+	h.send(h.peer, second)
+	h.waitCount("drop", reasonHops, 1)
+	assert.Equal(t, h.b.Counter("hops", "0"), int64(4))
+	assert.Equal(t, h.b.Counter("relay", "test"), int64(2))
+}
+
+// Guards against packets of strangers: a forged relay or a packet that passed
+// by the fabric could reach any target.
+func TestSourcesAreChecked(t *testing.T) {
+	core := &fakeCore{}
+	h := newHarness(t, core)
+	h.run()
+	stranger := listen(t)
+	relayed := protocol.AppendRelay(nil, syn, 1, h.b.relayKey)
+	h.send(stranger, relayed, protocol.AppendGRE(nil, syn))
+	h.send(h.peer, protocol.AppendGRE(nil, syn))
+	h.send(h.fabric, relayed)
+	h.send(h.peer, protocol.AppendRelay(nil, syn, 1, []byte("another key 0000")))
+	h.waitCount("drop", reasonNotMember, 2)
+	h.waitCount("drop", reasonNotFabric, 2)
+	h.waitCount("drop", string(protocol.ErrRelayHash), 1)
+	assert.Equal(t, core.handled.Load(), int64(0))
+	h.send(h.peer, relayed)
+	h.waitCount("drop", "test", 1)
+}
+
+// Guards against a malformed packet that stops the process or the reader.
+func TestMalformedPacketsAreDropped(t *testing.T) {
+	core := &fakeCore{}
+	h := newHarness(t, core)
+	h.run()
+	good := protocol.AppendGRE(nil, syn)
+	sent := 0
+	for end := range good {
+		h.send(h.fabric, good[:end])
+		sent++
+		for _, bit := range []byte{0x01, 0x80} {
+			changed := bytes.Clone(good)
+			changed[end] ^= bit
+			h.send(h.fabric, changed)
+			sent++
+		}
+	}
+	h.send(h.fabric, nil, bytes.Repeat([]byte{0xff}, 9000))
+	sent += 2
+	h.wait(h.dropped, int64(sent))
+	decided := core.handled.Load()
+	h.send(h.fabric, good)
+	h.waitCount("drop", "test", decided+1)
+	assert.Equal(t, h.dropped(), int64(sent+1))
+}
+
+// Guards against 0-RTT requests that are forwarded where they could run twice.
+func TestZeroRTTIsRemoved(t *testing.T) {
+	core := &fakeCore{}
+	core.decide(coordination.Decision{Action: coordination.ActionForward, Endpoint: target, StripZeroRTT: true})
+	h := newHarness(t, core)
+	h.run()
+	early := []byte{0xd0, 0, 0, 0, 1, 4, 1, 2, 3, 4, 0, 2, 0x55, 0x55}
+	handshake := []byte{0xe0, 0, 0, 0, 1, 4, 1, 2, 3, 4, 0, 2, 0x66, 0x66}
+	h.send(h.fabric, protocol.AppendGRE(nil, protocol.BuildUDP(caller, service, early)))
+	h.waitCount("drop", string(protocol.ErrZeroRTTOnly), 1)
+	h.send(h.fabric, protocol.AppendGRE(nil, protocol.BuildUDP(caller, service, append(bytes.Clone(early), handshake...))))
+	got := h.receive(h.fabric)
+	want := append(bytes.Clone(handshake), make([]byte, len(early))...)
+	assert.Assert(t, bytes.Equal(got[len(got)-len(want):], want))
+}
+
+// Guards against a leaving balancer that stops while the fabric still sends to it.
+func TestLeaveKeepsForwarding(t *testing.T) {
+	core := &fakeCore{}
+	core.decide(coordination.Decision{Action: coordination.ActionForward, Endpoint: target})
+	h := newHarness(t, core)
+	h.b.settings.Timers.LeaveQuiet = 100
+	stop := h.run()
+	h.forward()
+	stopped := make(chan struct{})
+	go func() { stop(); close(stopped) }()
+	for h.plane.left.Load() == 0 {
+		h.forward()
+	}
+	for range 20 {
+		h.forward()
+		h.clock.advance(h.b.settings.Timers.LeaveQuiet.Duration() / 3)
+	}
+	h.clock.advance(h.b.settings.Timers.LeaveQuiet.Duration())
+	<-stopped
+	_, err := h.b.conn.WriteToUDPAddrPort(nil, netip.MustParseAddrPort("127.0.0.1:9"))
+	assert.ErrorContains(t, err, "closed")
+}
--- /dev/null
+++ b/internal/transport/harness_test.go
@@ -0,0 +1,190 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/settings"
+)
+
+var (
+	caller  = protocol.Endpoint{IP: [4]byte{192, 0, 2, 7}, Port: 40001}
+	service = protocol.Endpoint{IP: [4]byte{203, 0, 113, 1}, Port: 443}
+	target  = protocol.Endpoint{IP: [4]byte{10, 1, 2, 3}, Port: 8443}
+	syn     = protocol.BuildTCP(caller, service, protocol.Segment{Seq: 77, SYN: true})
+)
+
+// fakeCore answers each packet with the same decision and counts calls. Without
+// a decision it drops the packet for the reason "test".
+type fakeCore struct {
+	coordination.Core
+	answer  atomic.Pointer[coordination.Decision]
+	handled atomic.Int64
+	freezes atomic.Int64
+}
+
+func (c *fakeCore) Handle(time.Time, coordination.Ingress) coordination.Decision {
+	c.handled.Add(1)
+	if d := c.answer.Load(); d != nil {
+		return *d
+	}
+	return coordination.Decision{Reason: "test"}
+}
+
+func (c *fakeCore) decide(d coordination.Decision) {
+	d.Reason = "test"
+	c.answer.Store(&d)
+}
+
+func (c *fakeCore) SetView(time.Time, coordination.View) {}
+func (c *fakeCore) Tick(time.Time)                       {}
+func (c *fakeCore) Flows() int                           { return 0 }
+func (c *fakeCore) Freeze(time.Time)                     { c.freezes.Add(1) }
+
+// fakePlane is a control plane without peers.
+type fakePlane struct {
+	refreshed atomic.Int64
+	left      atomic.Int64
+}
+
+func (p *fakePlane) Run(ctx context.Context) error   { <-ctx.Done(); return nil }
+func (p *fakePlane) Refresh(context.Context) error   { p.refreshed.Add(1); return nil }
+func (p *fakePlane) Leave(ctx context.Context) error { p.left.Add(1); return nil }
+
+// clock moves only when a test says so. A busy machine therefore does not look
+// like a freeze.
+type clock struct {
+	start  time.Time
+	passed atomic.Int64
+}
+
+func (c *clock) now() time.Time          { return c.start.Add(time.Duration(c.passed.Load())) }
+func (c *clock) advance(d time.Duration) { c.passed.Add(int64(d)) }
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// harness is a balancer between a fabric socket and a peer socket.
+type harness struct {
+	t      testing.TB
+	core   *fakeCore
+	plane  *fakePlane
+	clock  *clock
+	b      *Balancer
+	fabric *net.UDPConn
+	peer   *net.UDPConn
+	logs   *logBuffer
+}
+
+func listen(t testing.TB) *net.UDPConn {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func addressOf(conn *net.UDPConn) netip.AddrPort {
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// newHarness makes a balancer that does not run yet.
+func newHarness(t testing.TB, core coordination.Core) *harness {
+	h := &harness{t: t, plane: &fakePlane{}, clock: &clock{start: time.Now()}, fabric: listen(t), peer: listen(t), logs: &logBuffer{}}
+	h.core, _ = core.(*fakeCore)
+	s := settings.Defaults()
+	s.DataAddress = netip.MustParseAddrPort("127.0.0.1:0")
+	s.FabricAddress = addressOf(h.fabric)
+	s.FleetKey = []byte("0123456789abcdef")
+	s.Timers.Tick = 10
+	s.Timers.LeaveQuiet = 0
+	b, err := New(Options{Settings: s, Core: core, Logger: log.NewJSONLogger(h.logs), Now: h.clock.now})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = b.conn.Close() })
+	h.b = b
+	b.SetView(coordination.View{Members: []coordination.Member{{VM: "peer", Data: addressOf(h.peer)}}})
+	return h
+}
+
+// run starts the balancer; the returned function stops it and waits.
+func (h *harness) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.b.Run(ctx, h.plane) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		assert.NilError(h.t, <-done)
+	})
+	h.t.Cleanup(stop)
+	return stop
+}
+
+// send sends datagrams to the balancer.
+func (h *harness) send(from *net.UDPConn, datagrams ...[]byte) {
+	for _, d := range datagrams {
+		_, err := from.WriteToUDPAddrPort(d, h.b.Address())
+		assert.NilError(h.t, err)
+	}
+}
+
+// receive returns the next datagram at a socket; a missing one fails the test.
+func (h *harness) receive(at *net.UDPConn) []byte {
+	assert.NilError(h.t, at.SetReadDeadline(time.Now().Add(10*time.Second)))
+	buffer := make([]byte, maxDatagramBytes)
+	n, err := at.Read(buffer)
+	assert.NilError(h.t, err)
+	return buffer[:n]
+}
+
+// waitCount waits until a counter has a value.
+func (h *harness) waitCount(group, name string, want int64) {
+	h.t.Helper()
+	h.wait(func() int64 { return h.b.Counter(group, name) }, want)
+}
+
+func (h *harness) wait(value func() int64, want int64) {
+	h.t.Helper()
+	poll.WaitOn(h.t, func(poll.LogT) poll.Result {
+		if got := value(); got != want {
+			return poll.Continue("%d, want %d; %s", got, want, h.b.stats.counters)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// dropped is the number of dropped packets, whatever the reason.
+func (h *harness) dropped() int64 {
+	total := int64(0)
+	h.b.Counters(func(group, _ string, value int64) {
+		if group == "drop" {
+			total += value
+		}
+	})
+	return total
+}
+
+// forward sends a packet that must come back to the fabric.
+func (h *harness) forward() {
+	h.send(h.fabric, protocol.AppendGRE(nil, syn))
+	h.receive(h.fabric)
+}
--- /dev/null
+++ b/internal/transport/stats.go
@@ -0,0 +1,85 @@
+package transport
+
+import (
+	"expvar"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/telemetry"
+)
+
+// Groups of counters. The counters of an action are those of its name, by reason.
+const (
+	groupData   = "data"
+	groupHops   = "hops"
+	groupFreeze = "freeze"
+	groupCancel = "cancel"
+)
+
+// Reasons for which transport drops a packet before or after the decision.
+const (
+	reasonNotFabric  = "not-from-fabric"
+	reasonNotMember  = "relay-from-non-member"
+	reasonHops       = "hops-exhausted"
+	reasonStale      = "read-after-freeze"
+	reasonSendFailed = "send-failed"
+)
+
+var actionNames = [...]string{
+	coordination.ActionDrop:    "drop",
+	coordination.ActionForward: "forward",
+	coordination.ActionReturn:  "return",
+	coordination.ActionRelay:   "relay",
+	coordination.ActionRefuse:  "refuse",
+}
+
+var hopNames = [...]string{"0", "1", "2"}
+
+// stats are the counters of the data path.
+type stats struct {
+	counters        *telemetry.CounterSet
+	receivedPackets *expvar.Int
+	receivedBytes   *expvar.Int
+	sentPackets     *expvar.Int
+	sentBytes       *expvar.Int
+}
+
+func newStats() *stats {
+	c := telemetry.NewCounterSet()
+	return &stats{
+		counters:        c,
+		receivedPackets: c.Counter(groupData, "received_packets"),
+		receivedBytes:   c.Counter(groupData, "received_bytes"),
+		sentPackets:     c.Counter(groupData, "sent_packets"),
+		sentBytes:       c.Counter(groupData, "sent_bytes"),
+	}
+}
+
+func (s *stats) count(group, name string, n int64) { s.counters.Add(group, name, n) }
+
+func (s *stats) drop(reason string) {
+	s.counters.Add(actionNames[coordination.ActionDrop], reason, 1)
+}
+
+// Counter returns a counter of the data path, for example "forward" and "known-flow".
+func (b *Balancer) Counter(group, name string) int64 { return b.stats.counters.Value(group, name) }
+
+// Counters calls f for each counter of the data path.
+func (b *Balancer) Counters(f func(group, name string, value int64)) { b.stats.counters.Each(f) }
+
+// Vars returns the variables of the balancer for expvar.
+func (b *Balancer) Vars() *expvar.Map {
+	vars := new(expvar.Map)
+	vars.Set("vm", expvar.Func(func() any { return b.settings.VM }))
+	vars.Set("counters", b.stats.counters)
+	vars.Set("flows", expvar.Func(func() any { return b.core.Flows() }))
+	vars.Set("generation", expvar.Func(func() any { return b.generation() }))
+	vars.Set("members", expvar.Func(func() any { return len(*b.members.Load()) }))
+	return vars
+}
+
+func (b *Balancer) generation() uint64 {
+	if table := b.table.Load(); table != nil {
+		return table.Generation
+	}
+	return 0
+}
