--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -94,16 +94,8 @@
 
 // Set is one whole configuration.
 type Set struct {
-	Places   []Place   `json:"places"`
-	Services []Service `json:"services"`
-	Pools    []Pool    `json:"pools"`
-	Targets  []Target  `json:"targets"`
-}
-
-// Head is the record in the key-value service that names the snapshot in force.
-type Head struct {
-	Generation uint64 `json:"generation"`
-	Digest     string `json:"digest"`
-	// PublishIDs are the most recent publishes, newest first.
-	PublishIDs []string `json:"publish_ids"`
+	Places   []Place   `json:"places,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Pools    []Pool    `json:"pools,omitempty"`
+	Targets  []Target  `json:"targets,omitempty"`
 }
