Add membership, configuration follower, health view and the control plane

Balancers need a view of the live members, the configuration in force and the health of targets without a second coordination service. The decisions are pure code in membership, follower, health and agent; transport/control is the shell with UDP probes, Twirp servers and clients, and platform calls.

The probe carries head and reports besides member updates. Exchanges compare bucket hashes of views, so that their size does not grow with the fleet while views agree. Twirp requests and responses carry an HMAC with a nonce.

golang.org/x/sync becomes a direct dependency (errgroup).

--- /dev/null
+++ b/internal/coordination/agent/agent.go
@@ -0,0 +1,218 @@
+// Package agent joins membership, configuration follower and health into the
+// control plane of one balancer. It is pure code: the shell in
+// transport/control passes in time and messages and carries out what comes out.
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/health"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/membership"
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+const (
+	// exchangeInterval is the mean time between two exchanges with a random peer.
+	exchangeInterval = 10 * time.Second
+	// seedInterval is the time between two exchanges with a seed while this balancer is alone.
+	seedInterval = time.Second
+	// reportInterval is the time between two calls of OnReports without news; ages of loads change meanwhile.
+	reportInterval = 5 * time.Second
+	// probeDigestBytes is the part of the digest in a probe. It tells two
+	// configurations of one generation apart; the fetch uses the whole digest.
+	probeDigestBytes = 8
+)
+
+// Alarm tells an operator that something needs attention.
+type Alarm = follower.Alarm
+
+// Alarms of the control plane besides those of the follower.
+const (
+	// AlarmRemoved: the VM list lacks this VM.
+	AlarmRemoved Alarm = "the other balancers left this VM out because the VM list lacks it"
+	// AlarmAlone: no other balancer is known although seeds or a VM list name some.
+	AlarmAlone Alarm = "no other balancer answers"
+)
+
+// Config holds the identity and the parameters of the control plane.
+type Config struct {
+	Membership membership.Config
+	Follower   follower.Config
+	Health     health.Config
+}
+
+// NewConfig returns the configuration of a balancer that starts at a time.
+func NewConfig(identity membership.Config, started time.Time, validate func(objects.Set) error) Config {
+	start := uint64(max(1, started.Unix()))
+	identity.Incarnation = start
+	return Config{
+		Membership: identity,
+		Follower: follower.Config{
+			VM: identity.VM, Place: identity.Place, Seed: identity.Seed, Validate: validate,
+		},
+		// A report version leaves room for 2^16 reports in each second.
+		Health: health.Config{VM: identity.VM, Place: identity.Place, FirstVersion: start << 16},
+	}
+}
+
+// Output is what the shell carries out.
+type Output struct {
+	Messages  []membership.Outgoing
+	Commands  []follower.Command
+	Checks    []health.Check
+	Exchanges []netip.AddrPort
+
+	View     *coordination.View
+	Snapshot *follower.Snapshot
+	Reports  []coordination.TargetReport // when NewReports
+	// NewReports tells that Reports replaces the earlier ones.
+	NewReports bool
+}
+
+// Agent is the control plane of one balancer. It is not safe for concurrent use.
+type Agent struct {
+	cfg      Config
+	members  *membership.Machine
+	follower *follower.Follower
+	health   *health.Machine
+
+	nextExchange time.Time
+	nextReports  time.Time
+	exchanges    []netip.AddrPort
+	snapshot     *follower.Snapshot
+}
+
+// New returns a control plane that knows only itself.
+func New(cfg Config, now time.Time) *Agent {
+	return &Agent{
+		cfg:          cfg,
+		members:      membership.New(cfg.Membership, now),
+		follower:     follower.New(cfg.Follower),
+		health:       health.New(cfg.Health),
+		nextExchange: now,
+	}
+}
+
+// Tick advances the control plane. Call it about every 50 ms.
+func (a *Agent) Tick(now time.Time) Output {
+	out := Output{Messages: a.members.Tick(now)}
+	a.updateView(now, &out)
+	out.Commands = a.follower.Tick(now)
+	out.Checks = a.health.Tick(now)
+	a.planExchanges(now)
+	a.takeNews(now, &out)
+	a.decorate(out.Messages)
+	return out
+}
+
+// HandleProbe takes a message of another balancer.
+func (a *Agent) HandleProbe(now time.Time, from netip.AddrPort, p *wire.Probe) Output {
+	out := Output{Messages: a.members.HandleProbe(now, from, p)}
+	a.updateView(now, &out)
+	a.peerHead(now, p.GetSource(), p.GetHead())
+	a.health.HandleReports(now, p.GetHealth())
+	a.takeNews(now, &out)
+	a.decorate(out.Messages)
+	return out
+}
+
+// HandleResult takes the answer to a command.
+func (a *Agent) HandleResult(now time.Time, r follower.Result) {
+	s, ok := a.follower.HandleResult(now, r)
+	if !ok {
+		return
+	}
+	a.snapshot = &s
+	a.members.SetGeneration(s.Head.Generation)
+	a.members.Urgent()
+	a.health.SetTargets(now, s.Set.Targets)
+}
+
+// HandleWatchEnded takes the end of a watch without a change.
+func (a *Agent) HandleWatchEnded(now time.Time) { a.follower.WatchEnded(now) }
+
+// HandleVMs takes a VM list, or the error instead of one.
+func (a *Agent) HandleVMs(now time.Time, list []platform.VM, err error) {
+	a.follower.HandleVMs(now, len(list), err)
+	if err == nil {
+		a.members.SetVMs(now, list)
+	}
+}
+
+// HandleCheck takes the result of the probe of a target.
+func (a *Agent) HandleCheck(now time.Time, target string, r health.Result) {
+	a.health.HandleResult(now, target, r)
+}
+
+// Leave announces the planned leave of this balancer.
+func (a *Agent) Leave() { a.members.Leave() }
+
+// Left announces the end of this balancer and returns the last messages.
+func (a *Agent) Left() []membership.Outgoing {
+	out := a.members.Left()
+	a.decorate(out)
+	return out
+}
+
+// updateView passes a changed view on to the other parts.
+func (a *Agent) updateView(now time.Time, out *Output) {
+	if !a.members.ViewChanged() {
+		return
+	}
+	view := a.members.View()
+	a.follower.SetView(view)
+	a.health.SetView(now, view)
+	out.View = &view
+}
+
+func (a *Agent) takeNews(now time.Time, out *Output) {
+	out.Exchanges, a.exchanges = a.exchanges, nil
+	out.Snapshot, a.snapshot = a.snapshot, nil
+	if a.health.Urgent() {
+		a.members.Urgent()
+	}
+	if a.health.Changed() || !now.Before(a.nextReports) {
+		a.nextReports = now.Add(reportInterval)
+		out.NewReports = true
+		out.Reports = a.health.Reports(now)
+	}
+}
+
+// decorate adds head and reports. Pushes are copies of one message and count as one.
+func (a *Agent) decorate(messages []membership.Outgoing) {
+	head := a.probeHead()
+	var pushed []*wire.TargetHealth
+	first := true
+	for _, msg := range messages {
+		msg.Probe.Head = head
+		if msg.Probe.Kind != wire.ProbeKind_PROBE_KIND_PUSH {
+			msg.Probe.Health = a.health.Updates()
+			continue
+		}
+		if first {
+			pushed, first = a.health.Updates(), false
+		}
+		msg.Probe.Health = pushed
+	}
+}
+
+func (a *Agent) probeHead() *wire.Head {
+	inForce := a.follower.InForce()
+	if inForce.Generation == 0 {
+		return nil
+	}
+	head := inForce.Wire()
+	head.Digest = head.Digest[:min(len(head.Digest), probeDigestBytes)]
+	return head
+}
+
+func (a *Agent) peerHead(now time.Time, peer string, head *wire.Head) {
+	if head.GetGeneration() > 0 && peer != "" {
+		a.follower.PeerHead(now, peer, follower.HeadFromWire(head))
+	}
+}
--- /dev/null
+++ b/internal/coordination/follower/follower.go
@@ -0,0 +1,190 @@
+// Package follower decides which configuration a balancer puts in force. It is
+// pure code: heads, snapshots and failures are passed in, commands come out.
+package follower
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+)
+
+// Head names one configuration. Digest is lower-case hexadecimal SHA-256. A
+// head told by a peer's probe holds only the start of the digest.
+type Head struct {
+	Generation uint64
+	Digest     string
+}
+
+// Same reports whether two heads can name the same configuration. One digest
+// may be the start of the other.
+func (h Head) Same(o Head) bool {
+	return h.Generation == o.Generation &&
+		(strings.HasPrefix(h.Digest, o.Digest) || strings.HasPrefix(o.Digest, h.Digest))
+}
+
+// Kind names what the shell does for a command.
+type Kind uint8
+
+// Kinds of commands.
+const (
+	// ReadHead reads the head record from the platform.
+	ReadHead Kind = iota + 1
+	// WatchHead waits for a revision of the head record above Revision.
+	WatchHead
+	// LoadSnapshot reads the snapshot of Head, which has Parts parts, from the platform.
+	LoadSnapshot
+	// FetchPeer fetches the snapshot of Head from Peer, as a delta to Base unless that is empty.
+	FetchPeer
+	// ReadVMs reads the VM list from the platform.
+	ReadVMs
+)
+
+// Command is one request of the follower to its shell.
+type Command struct {
+	Kind     Kind
+	Head     Head
+	Parts    int
+	Peer     string
+	Base     string
+	Revision uint64
+}
+
+// Result is the answer to a command. Err means that there was no usable answer.
+type Result struct {
+	Command  Command
+	Err      error
+	Head     Head // of ReadHead, WatchHead and FetchPeer
+	Parts    int
+	Revision uint64
+	Snapshot []byte // canonical JSON of LoadSnapshot and FetchPeer
+	Delta    []byte // instead of Snapshot, of FetchPeer
+}
+
+// Snapshot is a verified configuration.
+type Snapshot struct {
+	Head Head
+	Set  objects.Set
+}
+
+// Alarm tells an operator that something needs attention.
+type Alarm string
+
+// Alarms of the follower.
+const (
+	// AlarmLowerHead: the platform shows a generation below the one in force.
+	AlarmLowerHead Alarm = "the platform shows a lower generation than the one in force; it is not adopted"
+	// AlarmDigestConflict: one generation was seen with two digests.
+	AlarmDigestConflict Alarm = "one generation was seen with two digests; the second is not adopted"
+	// AlarmSnapshotRefused: a snapshot was corrupted or invalid.
+	AlarmSnapshotRefused Alarm = "a snapshot was refused as corrupted or invalid; the previous configuration stays in force"
+	// AlarmPlatformUnreachable: this balancer reads the platform and gets no answer.
+	AlarmPlatformUnreachable Alarm = "the platform does not answer; the configuration in force stays"
+	// AlarmNoConfiguration: no configuration has been found yet.
+	AlarmNoConfiguration Alarm = "no configuration found at the platform or at peers"
+)
+
+// Follower decides for one balancer. It is not safe for concurrent use.
+type Follower struct {
+	cfg    Config
+	rng    *rand.Rand
+	view   coordination.View
+	reader bool
+
+	current Snapshot
+	history []Snapshot        // earlier ones as bases of deltas, newest first
+	deltas  map[string][]byte // deltas to current by base digest
+	wanted  wanted
+	stored  Head // higher head at the platform, not loaded yet
+	parts   int
+	refused map[string]bool // digests of invalid snapshots
+
+	read     slot
+	watch    slot
+	load     slot
+	list     slot
+	fetch    slot
+	failures int
+	retryAt  time.Time // no platform call before
+	answered time.Time // last answer of the platform
+	revision uint64
+	sawHead  bool // a read of the head was answered
+	alarms   map[Alarm]bool
+	counts   Counts
+}
+
+// Counts are running totals for the metrics.
+type Counts struct {
+	Adoptions     uint64
+	Refusals      uint64
+	LowerHeads    uint64
+	PlatformCalls uint64
+	PeerFetches   uint64
+}
+
+// New returns a follower without a configuration.
+func New(cfg Config) *Follower {
+	cfg.setDefaults()
+	return &Follower{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 0x666f6c6c)),
+		deltas:  map[string][]byte{},
+		refused: map[string]bool{},
+		alarms:  map[Alarm]bool{AlarmNoConfiguration: true},
+	}
+}
+
+// InForce returns the head of the configuration in force.
+func (f *Follower) InForce() Head { return f.current.Head }
+
+// Reader reports whether this balancer watches the platform.
+func (f *Follower) Reader() bool { return f.reader }
+
+// Counts returns the running totals.
+func (f *Follower) Counts() Counts { return f.counts }
+
+// Platform reports whether the last platform call was answered, and when one was.
+func (f *Follower) Platform() (reachable bool, answered time.Time) {
+	return f.failures == 0 && !f.answered.IsZero(), f.answered
+}
+
+// Alarms returns the alarms that are raised, in a fixed order.
+func (f *Follower) Alarms() []Alarm {
+	var list []Alarm
+	for _, a := range []Alarm{AlarmNoConfiguration, AlarmSnapshotRefused, AlarmDigestConflict, AlarmLowerHead, AlarmPlatformUnreachable} {
+		if f.alarms[a] {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (f *Follower) raise(a Alarm) { f.alarms[a] = true }
+
+func (f *Follower) clear(a Alarm) { delete(f.alarms, a) }
+
+// SetView tells the live members, from which the readers are chosen.
+func (f *Follower) SetView(view coordination.View) {
+	f.view = view
+	f.reader = f.chosen()
+}
+
+// chosen reports whether this balancer is among the first of its place in rendezvous order.
+func (f *Follower) chosen() bool {
+	own := readerWeight(f.cfg.Place, f.cfg.VM)
+	ahead := 0
+	for _, m := range f.view.Members {
+		if m.Place == f.cfg.Place && m.VM != f.cfg.VM && !m.Leaving && readerWeight(m.Place, m.VM) > own {
+			ahead++
+		}
+	}
+	return ahead < f.cfg.ReadersPerPlace
+}
+
+func readerWeight(place, vm string) uint64 {
+	return xxhash.Sum64String("reader/" + place + "/" + vm)
+}
--- /dev/null
+++ b/internal/coordination/health/describe.go
@@ -0,0 +1,43 @@
+package health
+
+import (
+	"fmt"
+	"time"
+)
+
+// Age returns the time since the last report about a target.
+func (m *Machine) Age(now time.Time, name string) (time.Duration, bool) {
+	t := m.targets[name]
+	if t == nil || len(t.reports) == 0 {
+		return 0, false
+	}
+	var newest time.Time
+	for _, r := range t.reports {
+		if r.received.After(newest) {
+			newest = r.received
+		}
+	}
+	return now.Sub(newest), true
+}
+
+// Describe tells the probers of a target and their reports, one a line.
+func (m *Machine) Describe(now time.Time, name string) []string {
+	t := m.targets[name]
+	if t == nil {
+		return nil
+	}
+	if t.Health == "" {
+		return []string{"no health endpoint configured"}
+	}
+	var lines []string
+	for _, vm := range t.probers {
+		r := t.reports[vm]
+		if r == nil {
+			lines = append(lines, fmt.Sprintf("prober %s: no report", vm))
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("prober %s: healthy %t, draining %t, shedding %t, load %d permille, reported %.1f s ago",
+			vm, r.Healthy, r.Draining, r.Shedding, r.LoadPermille, now.Sub(r.received).Seconds()))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/coordination/health/probing.go
@@ -0,0 +1,158 @@
+package health
+
+import (
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// probing is the state of a target that this balancer probes itself.
+type probing struct {
+	rank      int
+	next      time.Time
+	failures  int
+	successes int
+	calm      int // results in a row without drain and shedding
+}
+
+// Tick returns the probes that are due.
+func (m *Machine) Tick(now time.Time) []Check {
+	m.refillTokens(now)
+	m.expireReports(now)
+	var checks []Check
+	for _, name := range m.names {
+		t := m.targets[name]
+		if t.own == nil || now.Before(t.own.next) {
+			continue
+		}
+		t.own.next = m.nextProbe(now, t.own)
+		checks = append(checks, Check{Target: name, Address: t.Health})
+	}
+	return checks
+}
+
+// nextProbe places the probes of the two probers of a target half an interval
+// apart, by wall clock.
+func (m *Machine) nextProbe(now time.Time, p *probing) time.Time {
+	interval := int64(m.cfg.Interval)
+	offset := interval * int64(p.rank) / int64(m.cfg.ProbersPerTarget)
+	passed := (now.UnixNano() - offset) % interval
+	wait := time.Duration(interval - passed)
+	if wait < m.cfg.Interval/4 {
+		wait += m.cfg.Interval
+	}
+	return now.Add(wait)
+}
+
+func (m *Machine) refillTokens(now time.Time) {
+	if m.refill.IsZero() {
+		m.refill, m.tokens = now, 1
+	}
+	rate := m.cfg.LoadUpdatesPerSecond / float64(max(1, m.members))
+	m.tokens = min(4, m.tokens+rate*now.Sub(m.refill).Seconds())
+	m.refill = now
+}
+
+// HandleResult takes the result of a probe that Tick asked for.
+func (m *Machine) HandleResult(now time.Time, name string, r Result) {
+	t := m.targets[name]
+	if t == nil || t.own == nil {
+		return
+	}
+	p := t.own
+	good := r.OK && r.Healthy
+	p.count(good, r.OK && !r.Draining && !r.Shedding)
+	before := t.reports[m.cfg.VM]
+	next := m.judge(p, before, r, good)
+	if next == nil {
+		p.next = now.Add(min(m.cfg.RetryInterval, max(0, p.next.Sub(now))))
+		return
+	}
+	if m.isNews(now, before, next) {
+		m.version++
+		next.Target, next.Prober, next.Version = name, m.cfg.VM, m.version
+		m.store(now, t, next)
+		return
+	}
+	if before != nil && before.Healthy != good {
+		p.next = now.Add(min(m.cfg.RetryInterval, max(0, p.next.Sub(now))))
+	}
+}
+
+func (p *probing) count(good, calm bool) {
+	if good {
+		p.successes++
+		p.failures = 0
+	} else {
+		p.failures++
+		p.successes = 0
+	}
+	if calm {
+		p.calm++
+	} else {
+		p.calm = 0
+	}
+}
+
+// judge returns the report that the results so far support, or nil when there
+// is no earlier report and too few results.
+func (m *Machine) judge(p *probing, before *report, r Result, good bool) *wire.TargetHealth {
+	next := &wire.TargetHealth{Healthy: good, Draining: r.Draining, Shedding: r.Shedding}
+	if before == nil {
+		if !good && p.failures < m.cfg.FailuresToUnhealthy {
+			return nil
+		}
+		next.LoadPermille = load(r)
+		return next
+	}
+	next.Healthy = before.Healthy
+	if before.Healthy && p.failures >= m.cfg.FailuresToUnhealthy {
+		next.Healthy = false
+	}
+	if !before.Healthy && p.successes >= m.cfg.SuccessesToHealthy {
+		next.Healthy = true
+	}
+	if p.calm < m.cfg.SuccessesToHealthy {
+		// A missing answer keeps the last drain signal in force.
+		next.Draining = r.Draining || before.Draining
+		next.Shedding = r.Shedding || before.Shedding
+	}
+	next.LoadPermille = before.LoadPermille
+	if r.OK {
+		next.LoadPermille = load(r)
+	}
+	return next
+}
+
+// load returns the busy share of the slots, in permille, with low shares as 0.
+func load(r Result) uint32 {
+	if r.Slots <= 0 || r.BusySlots <= 0 {
+		return 0
+	}
+	permille := uint32(min(1000, r.BusySlots*1000/r.Slots))
+	if permille < loadFloor {
+		return 0
+	}
+	return permille
+}
+
+// isNews reports whether a report is passed on. Health, drain and shedding
+// always are; a load change must be large enough and within the fleet's rate.
+func (m *Machine) isNews(now time.Time, before *report, next *wire.TargetHealth) bool {
+	if before == nil {
+		return true
+	}
+	if before.Healthy != next.Healthy || before.Draining != next.Draining || before.Shedding != next.Shedding {
+		return true
+	}
+	change := int(next.LoadPermille) - int(before.LoadPermille)
+	old := next.LoadPermille > 0 && now.Sub(before.received) > m.cfg.LoadBound/2
+	if change < loadStep && -change < loadStep && !old {
+		return false
+	}
+	if m.tokens < 1 {
+		return false
+	}
+	m.tokens--
+	return true
+}
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -3,13 +3,22 @@
 package control
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/agent"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/membership"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
@@ -20,26 +29,191 @@
 	Set        objects.Set
 }
 
-// Options are the parameters of the control plane.
+// Options are the parameters of the control plane. The callbacks are called
+// one at a time, must return quickly, and must not call the Plane.
 type Options struct {
 	VM       string
 	Place    string
 	Data     netip.AddrPort
-	Control  netip.AddrPort // UDP for probes and TCP for Twirp, same port
+	Control  netip.AddrPort // UDP for probes and TCP for Twirp, same port; port 0 takes a free one
 	Seeds    []netip.AddrPort
 	FleetKey []byte
-	Store    platform.Store
-	Logger   log.Logger
+	Store    platform.Store // nil: no platform, configuration from peers alone
+	Logger   log.Logger     // nil: no log
 	Seed     uint64
 
+	// Validate reports why a snapshot cannot be put in force; nil accepts what
+	// state.NewTable accepts.
+	Validate func(objects.Set) error
+
 	// OnView is called when the set of live members changes.
 	OnView func(coordination.View)
 	// OnSnapshot is called when a higher generation comes into force.
 	OnSnapshot func(Snapshot)
-	// OnReports is called when the health or load view changes.
+	// OnReports is called when the health or load view changes, and every 5 s.
 	OnReports func([]coordination.TargetReport)
 	// OnHandoff is called with bindings that a peer hands over; it returns how many were new.
 	OnHandoff func([]state.Binding) int
-	// Core answers status and explain requests.
+	// Core answers status and explain requests and hands over bindings on leave; nil without a data path.
 	Core coordination.Core
 }
+
+const (
+	tickInterval = 50 * time.Millisecond
+	dialTimeout  = time.Second
+	// exchangeTimeout bounds one exchange or fetch between peers.
+	exchangeTimeout = 2 * time.Second
+	// queueLength is the number of received probes that may wait for the loop.
+	queueLength = 1024
+)
+
+// Plane is the control plane of one balancer.
+type Plane struct {
+	options  Options
+	logger   log.Logger
+	counters *counters
+	agent    *agent.Agent
+
+	udp      *net.UDPConn
+	tcp      net.Listener
+	peers    *authClient
+	targets  *http.Client
+	requests chan func()
+	probes   chan received
+	done     chan struct{} // closed when the loop ends
+	inForce  Snapshot
+	tasks    tasks
+}
+
+// received is a probe with its sender.
+type received struct {
+	from  netip.AddrPort
+	probe *wire.Probe
+}
+
+// New checks the options and opens the sockets. Run must follow.
+func New(o Options) (*Plane, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	p := &Plane{
+		options:  o,
+		logger:   log.With(o.Logger, "caller", "control"),
+		counters: newCounters(),
+		requests: make(chan func()),
+		probes:   make(chan received, queueLength),
+		done:     make(chan struct{}),
+	}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	p.peers = newPeerClient(o.FleetKey, p.counters)
+	p.targets = newTargetClient(p.counters)
+	now := time.Now()
+	identity := membership.Config{
+		VM: o.VM, Place: o.Place, Data: o.Data, Control: p.options.Control, Seeds: o.Seeds, Seed: o.Seed,
+	}
+	p.agent = agent.New(agent.NewConfig(identity, now, o.validate), now)
+	return p, nil
+}
+
+func (o *Options) check() error {
+	switch {
+	case o.VM == "":
+		return errors.New("control: vm is empty")
+	case o.Place == "":
+		return errors.New("control: place is empty")
+	case !o.Control.IsValid():
+		return errors.New("control: control address is missing")
+	case len(o.FleetKey) == 0:
+		return errors.New("control: fleet key is empty")
+	}
+	return nil
+}
+
+func (o *Options) validate(set objects.Set) error {
+	if o.Validate != nil {
+		return o.Validate(set)
+	}
+	_, err := state.NewTable(1, "", set)
+	return err
+}
+
+// listen opens the TCP listener and the UDP socket on the same port.
+func (p *Plane) listen() error {
+	tcp, err := net.Listen("tcp", p.options.Control.String())
+	if err != nil {
+		return errors.Wrap(err, "control: listen on TCP")
+	}
+	port := uint16(tcp.Addr().(*net.TCPAddr).Port)
+	p.options.Control = netip.AddrPortFrom(p.options.Control.Addr(), port)
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.options.Control))
+	if err != nil {
+		_ = tcp.Close()
+		return errors.Wrap(err, "control: listen on UDP")
+	}
+	p.tcp = &countedListener{tcp, p.counters}
+	p.udp = udp
+	return nil
+}
+
+// Address returns the control address in use.
+func (p *Plane) Address() netip.AddrPort { return p.options.Control }
+
+// Counters returns the running totals by name. Byte counts are payload bytes at the sockets.
+func (p *Plane) Counters() map[string]uint64 {
+	totals := p.counters.snapshot()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = p.do(ctx, func(time.Time) { // without Run there is nothing to add
+		for name, total := range p.agent.Counters() {
+			totals[name] = total
+		}
+	})
+	return totals
+}
+
+// Run serves until ctx ends, then tells the others that this balancer left.
+func (p *Plane) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	server := p.newServer()
+	group.Go(func() error { return p.readProbes() })
+	group.Go(func() error {
+		if err := server.Serve(p.tcp); err != http.ErrServerClosed {
+			return errors.Wrap(err, "control: serve")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		defer p.udp.Close()
+		defer server.Close()
+		p.loop(ctx)
+		return nil
+	})
+	err := group.Wait()
+	p.tasks.wait()
+	p.peers.http.CloseIdleConnections()
+	p.targets.CloseIdleConnections()
+	return err
+}
+
+// do runs f in the loop and waits for it.
+func (p *Plane) do(ctx context.Context, f func(now time.Time)) error {
+	ran := make(chan struct{})
+	run := func() {
+		f(time.Now())
+		close(ran)
+	}
+	select {
+	case p.requests <- run:
+		<-ran
+		return nil
+	case <-p.done:
+		return errors.New("control plane is stopped")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/transport/control/counters.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Names of the counters besides those of the decision code.
+const (
+	// CounterBytesSent and CounterBytesReceived sum the three kinds of traffic below.
+	CounterBytesSent     = "control_bytes_sent"
+	CounterBytesReceived = "control_bytes_received"
+
+	counterProbeSent      = "control_probe_bytes_sent"
+	counterProbeReceived  = "control_probe_bytes_received"
+	counterTwirpSent      = "control_twirp_bytes_sent"
+	counterTwirpReceived  = "control_twirp_bytes_received"
+	counterHealthSent     = "control_health_bytes_sent"
+	counterHealthReceived = "control_health_bytes_received"
+
+	counterRefusedProbes   = "control_refused_probes"
+	counterRefusedRequests = "control_refused_requests"
+	counterDroppedProbes   = "control_dropped_probes"
+	counterSendErrors      = "control_send_errors"
+	counterExchanges       = "control_exchanges"
+	counterExchangeErrors  = "control_exchange_errors"
+	counterHandoffSent     = "control_handoff_bindings_sent"
+	counterHandoffLost     = "control_handoff_bindings_undelivered"
+	counterHandoffAccepted = "control_handoff_bindings_accepted"
+)
+
+// counters are running totals by name.
+type counters struct {
+	mu     sync.Mutex
+	totals map[string]*atomic.Uint64
+}
+
+func newCounters() *counters { return &counters{totals: map[string]*atomic.Uint64{}} }
+
+func (c *counters) get(name string) *atomic.Uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.totals[name] == nil {
+		c.totals[name] = &atomic.Uint64{}
+	}
+	return c.totals[name]
+}
+
+func (c *counters) add(name string, n int) { c.get(name).Add(uint64(n)) }
+
+// snapshot returns all totals with the sums of the bytes.
+func (c *counters) snapshot() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]uint64{}
+	for name, total := range c.totals {
+		out[name] = total.Load()
+	}
+	out[CounterBytesSent] = out[counterProbeSent] + out[counterTwirpSent] + out[counterHealthSent]
+	out[CounterBytesReceived] = out[counterProbeReceived] + out[counterTwirpReceived] + out[counterHealthReceived]
+	return out
+}
+
+// countedConn counts the bytes of a TCP connection.
+type countedConn struct {
+	net.Conn
+	sent, received *atomic.Uint64
+}
+
+// Read counts the bytes read.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(uint64(n))
+	return n, err
+}
+
+// Write counts the bytes written.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(uint64(n))
+	return n, err
+}
+
+// countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	counters *counters
+}
+
+// Accept waits for the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, l.counters.get(counterTwirpSent), l.counters.get(counterTwirpReceived)}, nil
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// countedDial returns a dial function whose connections count their bytes.
+func (c *counters) countedDial(sent, received string) dialFunc {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{conn, c.get(sent), c.get(received)}, nil
+	}
+}
--- /dev/null
+++ b/internal/transport/control/handoff.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+const (
+	// handoffBatch is the number of bindings in one request, about 20 KB.
+	handoffBatch = 500
+	// handoffRate is the number of bindings handed over per second. A planned
+	// leave is short and rare, so it may exceed the steady control budget.
+	handoffRate = 5000
+	// handoffTries is the number of deliveries tried for one batch.
+	handoffTries = 3
+	// announceTime lets the leave reach the others before the handoff asks who owns what.
+	announceTime = 500 * time.Millisecond
+)
+
+// Leave announces a planned leave and hands over the bindings that others must
+// know. Keep Run going until the fabric sends no more packets. An error tells
+// that not every binding was delivered; Leave may be called again.
+func (p *Plane) Leave(ctx context.Context) error {
+	if err := p.do(ctx, func(time.Time) { p.agent.Leave() }); err != nil {
+		return errors.Wrap(err, "announce leave")
+	}
+	if p.options.Core == nil {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(announceTime):
+	}
+	return p.handOver(ctx)
+}
+
+// handOver delivers batches until none is left.
+func (p *Plane) handOver(ctx context.Context) error {
+	limiter := rate.NewLimiter(handoffRate, handoffBatch)
+	undelivered := 0
+	for {
+		batches := p.options.Core.Handoff(time.Now(), handoffBatch)
+		if len(batches) == 0 {
+			break
+		}
+		for _, batch := range batches {
+			if err := limiter.WaitN(ctx, min(len(batch.Bindings), handoffBatch)); err != nil {
+				return errors.Wrap(err, "handoff")
+			}
+			if err := p.deliver(ctx, batch); err != nil {
+				undelivered += len(batch.Bindings)
+				p.counters.add(counterHandoffLost, len(batch.Bindings))
+				_ = level.Warn(p.logger).Log("op", "handoff", "msg", "batch not delivered", "peer", batch.VM, "err", err)
+			}
+		}
+	}
+	if undelivered > 0 {
+		return errors.Errorf("handoff: %d bindings were not delivered", undelivered)
+	}
+	return nil
+}
+
+func (p *Plane) deliver(ctx context.Context, batch coordination.HandoffBatch) error {
+	addr, ok := p.peerAddress(ctx, batch.VM)
+	if !ok {
+		return errors.Errorf("peer %s is not known", batch.VM)
+	}
+	request := &wire.HandoffRequest{Source: p.options.VM, Bindings: bindingsToWire(batch.Bindings)}
+	var err error
+	for range handoffTries {
+		call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		_, err = p.peer(addr).Handoff(call, request)
+		cancel()
+		if err == nil {
+			p.counters.add(counterHandoffSent, len(batch.Bindings))
+			return nil
+		}
+	}
+	return errors.Wrapf(err, "handoff to %s", batch.VM)
+}
+
+func (p *Plane) acceptHandoff(r *wire.HandoffRequest) *wire.HandoffResponse {
+	if p.options.OnHandoff == nil {
+		return &wire.HandoffResponse{}
+	}
+	accepted := p.options.OnHandoff(bindingsFromWire(r.GetBindings()))
+	p.counters.add(counterHandoffAccepted, accepted)
+	return &wire.HandoffResponse{Accepted: uint32(accepted)}
+}
+
+func bindingsToWire(bindings []state.Binding) []*wire.FlowBinding {
+	list := make([]*wire.FlowBinding, 0, len(bindings))
+	for _, b := range bindings {
+		list = append(list, &wire.FlowBinding{
+			CallerIp: ipToWire(b.Flow.Caller), CallerPort: uint32(b.Flow.Caller.Port),
+			ServiceIp: ipToWire(b.Flow.Service), ServicePort: uint32(b.Flow.Service.Port),
+			Transport: uint32(b.Flow.Transport),
+			TargetIp:  ipToWire(b.Target), TargetPort: uint32(b.Target.Port),
+			Strength:  uint32(b.Strength),
+			OpenerTag: b.OpenerTag, AnswerTag: b.AnswerTag,
+			IdleSeconds: uint32(min(b.Idle/time.Second, math.MaxUint32)),
+		})
+	}
+	return list
+}
+
+// bindingsFromWire skips bindings with values out of range.
+func bindingsFromWire(list []*wire.FlowBinding) []state.Binding {
+	bindings := make([]state.Binding, 0, len(list))
+	for _, w := range list {
+		ports := max(w.GetCallerPort(), w.GetServicePort(), w.GetTargetPort())
+		if ports > math.MaxUint16 || w.GetTransport() > math.MaxUint8 || w.GetStrength() > uint32(state.StrengthConfirmed) {
+			continue
+		}
+		bindings = append(bindings, state.Binding{
+			Flow: protocol.FlowKey{
+				Caller:    endpoint(w.CallerIp, w.CallerPort),
+				Service:   endpoint(w.ServiceIp, w.ServicePort),
+				Transport: uint8(w.Transport),
+			},
+			Target:    endpoint(w.TargetIp, w.TargetPort),
+			Strength:  state.Strength(w.Strength),
+			OpenerTag: w.OpenerTag, AnswerTag: w.AnswerTag,
+			Idle: time.Duration(w.IdleSeconds) * time.Second,
+		})
+	}
+	return bindings
+}
+
+func ipToWire(e protocol.Endpoint) uint32 { return binary.BigEndian.Uint32(e.IP[:]) }
+
+func endpoint(ip, port uint32) protocol.Endpoint {
+	e := protocol.Endpoint{Port: uint16(port)}
+	binary.BigEndian.PutUint32(e.IP[:], ip)
+	return e
+}
--- /dev/null
+++ b/internal/transport/control/server.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// newServer returns the HTTP server of both Twirp services.
+func (p *Plane) newServer() *http.Server {
+	peer := wire.NewPeerServer(&peerServer{p})
+	operator := wire.NewOperatorServer(&operatorServer{p})
+	mux := http.NewServeMux()
+	mux.Handle(peer.PathPrefix(), peer)
+	mux.Handle(operator.PathPrefix(), operator)
+	handler := &authHandler{key: p.options.FleetKey, next: mux, refused: p.requestRefused}
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       30 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		ErrorLog:          stdlog.New(io.Discard, "", 0), // malformed requests are counted below
+	}
+}
+
+func (p *Plane) requestRefused(reason string) {
+	p.counters.add(counterRefusedRequests, 1)
+	_ = level.Warn(p.logger).Log("op", "request", "msg", "request refused", "reason", reason)
+}
+
+// peerServer serves other balancers.
+type peerServer struct{ plane *Plane }
+
+// Exchange answers with what the requester lacks.
+func (s *peerServer) Exchange(ctx context.Context, r *wire.ExchangeRequest) (response *wire.ExchangeResponse, err error) {
+	err = s.plane.do(ctx, func(now time.Time) { response = s.plane.agent.HandleExchange(now, r) })
+	return response, err
+}
+
+// FetchSnapshot answers with the snapshot in force, or with the changes to it.
+func (s *peerServer) FetchSnapshot(ctx context.Context, r *wire.FetchSnapshotRequest) (response *wire.FetchSnapshotResponse, err error) {
+	err = s.plane.do(ctx, func(time.Time) { response = s.plane.agent.ServeSnapshot(r) })
+	return response, err
+}
+
+// Handoff stores bindings of a balancer that leaves.
+func (s *peerServer) Handoff(_ context.Context, r *wire.HandoffRequest) (*wire.HandoffResponse, error) {
+	return s.plane.acceptHandoff(r), nil
+}
