Test the control plane over a fake network and mend what it showed

Agents run in fake time over a fake network with seeded loss, delay, cuts and freezes, and a fake platform with outages, delays and older heads.

Mended: a death that the other side of a partition declared removed live members after the partition healed; it now counts as a suspicion. An exchange with 1 to 3 bytes of hashes divided by zero (fuzz). While the platform fails, one read at a time tries it instead of one call of each kind.

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -110,14 +110,13 @@
 	return out
 }
 
-// HandleProbe takes a message of another balancer.
-func (a *Agent) HandleProbe(now time.Time, from netip.AddrPort, p *wire.Probe) Output {
-	out := Output{Messages: a.members.HandleProbe(now, from, p)}
-	a.updateView(now, &out)
+// HandleProbe takes a message of another balancer and returns the answers. The
+// next Tick tells what changed, so that a burst of news costs one update.
+func (a *Agent) HandleProbe(now time.Time, from netip.AddrPort, p *wire.Probe) []membership.Outgoing {
+	out := a.members.HandleProbe(now, from, p)
 	a.peerHead(now, p.GetSource(), p.GetHead())
 	a.health.HandleReports(now, p.GetHealth())
-	a.takeNews(now, &out)
-	a.decorate(out.Messages)
+	a.decorate(out)
 	return out
 }
 
--- /dev/null
+++ b/internal/coordination/agent/follower_test.go
@@ -0,0 +1,296 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// spreadBound is the time after which an accepted configuration is in force everywhere.
+const spreadBound = 5 * time.Second
+
+// inForce reports whether all running balancers have the platform's generation.
+func (c *cluster) inForce() bool {
+	for _, n := range c.live() {
+		if n.follower.InForce() != c.platform.head {
+			return false
+		}
+	}
+	return true
+}
+
+// noReverts fails when some balancer adopted a generation that was not higher than the one before.
+func (c *cluster) noReverts() {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		for i := 1; i < len(n.adopted); i++ {
+			assert.Assert(c.t, n.adopted[i] > n.adopted[i-1], "%s adopted %v", n.vm, n.adopted)
+		}
+	}
+}
+
+// publishNext changes one target.
+func (c *cluster) publishNext() {
+	set := fleetSet(18)
+	set.Targets[0].Weight = uint32(100 + c.platform.head.Generation)
+	c.platform.publish(set)
+}
+
+func startedCluster(t *testing.T, seed uint64) *cluster {
+	c := newCluster(t, 7, seed)
+	c.platform.publish(fleetSet(18))
+	c.settle()
+	assert.Assert(t, c.inForce())
+	return c
+}
+
+// Guards against a configuration that is not in force everywhere within 5 s,
+// with lost packets, a slow platform, and places that do not reach it.
+func TestHeadSpreadsWithin5s(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := startedCluster(t, seed)
+			c.loss = 0.05
+			c.platform.delay = time.Duration(seed%3) * 500 * time.Millisecond
+			if seed%2 == 0 {
+				c.platform.down = func(n *node) bool { return n.place != "pl-b" }
+			}
+			for range 5 {
+				c.run(time.Duration(c.rng.IntN(20000)) * time.Millisecond)
+				c.publishNext()
+				took := c.until(spreadBound, c.inForce)
+				assert.Assert(t, took <= spreadBound, "took %s", took)
+			}
+			c.noReverts()
+		})
+	}
+}
+
+// Guards against an older head that replaces the one in force, and against one
+// that nobody is told of.
+func TestOlderHeadIsNotAdopted(t *testing.T) {
+	c := startedCluster(t, 1)
+	old := c.platform.head
+	c.publishNext()
+	c.run(spreadBound)
+	c.platform.shown = &old
+	c.run(30 * time.Second)
+	assert.Assert(t, c.inForce())
+	for _, n := range c.nodes {
+		assert.Equal(t, hasAlarm(n, follower.AlarmLowerHead), n.follower.Reader(), "%s", n.vm)
+	}
+	c.platform.shown = nil
+	c.run(30 * time.Second)
+	c.noReverts()
+	assert.Assert(t, !hasAlarm(c.nodes[0], follower.AlarmLowerHead))
+}
+
+func hasAlarm(n *node, alarm Alarm) bool {
+	for _, a := range n.Alarms() {
+		if a == alarm {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a generation that a second digest replaces.
+func TestSecondDigestOfAGenerationIsNotAdopted(t *testing.T) {
+	c := startedCluster(t, 2)
+	before := c.platform.head
+	c.platform.head.Generation--
+	c.platform.publish(fleetSet(17))
+	c.run(30 * time.Second)
+	for _, n := range c.nodes {
+		assert.Equal(t, n.follower.InForce(), before)
+		assert.Equal(t, hasAlarm(n, follower.AlarmDigestConflict), n.follower.Reader(), "%s", n.vm)
+	}
+}
+
+// Guards against a place that stays behind after it was cut off from the
+// others and the platform, and against one that stops serving meanwhile.
+func TestCutOffPlaceCatchesUp(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := startedCluster(t, seed)
+			off := func(n *node) bool { return n.place == "pl-c" }
+			c.cut = func(a, b *node) bool { return off(a) != off(b) }
+			c.platform.down = off
+			old := c.platform.head
+			c.publishNext()
+			c.publishNext()
+			c.run(time.Minute)
+			assert.Equal(t, c.nodes[0].follower.InForce(), c.platform.head)
+			assert.Equal(t, c.nodes[2].follower.InForce(), old)
+			assert.Assert(t, hasAlarm(c.nodes[2], follower.AlarmPlatformUnreachable))
+			c.cut = func(a, b *node) bool { return false }
+			c.platform.down = nil
+			took := c.until(mergeBound, c.inForce)
+			assert.Assert(t, took <= mergeBound, "took %s", took)
+			c.noReverts()
+		})
+	}
+}
+
+// Guards against a balancer that cannot start, or keeps asking, while the platform is down.
+func TestStartDuringOutage(t *testing.T) {
+	c := startedCluster(t, 3)
+	c.platform.down = func(*node) bool { return true }
+	c.run(10 * time.Second)
+	c.nodes[6].dead = true
+	c.run(10 * time.Second)
+	c.boot(c.nodes[6])
+	assert.Assert(t, c.until(spreadBound, c.inForce) <= spreadBound)
+	c.run(time.Minute)
+	calls := c.platform.calls
+	c.run(time.Minute)
+	// A reader backs off to one call in 5 to 10 s, for 6 readers in 3 places.
+	assert.Assert(t, c.platform.calls-calls <= 6*60/5, "%d calls in a minute", c.platform.calls-calls)
+}
+
+// Guards against a reader that was frozen during a read, wakes with the old
+// head and turns the fleet back.
+func TestFrozenReaderWithOldHeadChangesNothing(t *testing.T) {
+	c := startedCluster(t, 4)
+	var reader *node
+	for _, n := range c.nodes {
+		if n.follower.Reader() {
+			reader = n
+		}
+	}
+	old := follower.Result{Command: follower.Command{Kind: follower.ReadHead}, Head: c.platform.head, Parts: 1, Revision: c.platform.revision}
+	reader.frozen = true
+	c.publishNext()
+	c.publishNext()
+	c.run(20 * time.Second)
+	c.thaw(reader)
+	reader.HandleResult(c.now, old)
+	assert.Assert(t, c.until(spreadBound, c.inForce) <= spreadBound)
+	c.run(10 * time.Second)
+	assert.Assert(t, c.inForce())
+	c.noReverts()
+}
+
+// Guards against a corrupted snapshot that goes into force, and against a good
+// copy that is not tried afterwards.
+func TestCorruptedSnapshotIsRefused(t *testing.T) {
+	c := startedCluster(t, 5)
+	before := c.platform.head
+	c.publishNext()
+	good := c.platform.snapshots[c.platform.head.Digest]
+	c.platform.snapshots[c.platform.head.Digest] = good[:len(good)/2]
+	c.run(20 * time.Second)
+	alarms := 0
+	for _, n := range c.nodes {
+		assert.Equal(t, n.follower.InForce(), before)
+		if hasAlarm(n, follower.AlarmSnapshotRefused) {
+			alarms++
+		}
+	}
+	assert.Assert(t, alarms > 0)
+	c.platform.snapshots[c.platform.head.Digest] = good
+	assert.Assert(t, c.until(spreadBound, c.inForce) <= spreadBound)
+	assert.Assert(t, !hasAlarm(c.nodes[0], follower.AlarmSnapshotRefused))
+}
+
+// Guards against a snapshot that matches its digest and does not pass
+// validation, yet goes into force or is loaded again and again.
+func TestInvalidSnapshotIsRefusedOnce(t *testing.T) {
+	invalid := fleetSet(18)
+	invalid.Targets[3].Weight = 13
+	f := follower.New(follower.Config{VM: "vm", Place: "pl-a", Validate: func(s objects.Set) error {
+		if s.Targets[3].Weight == 13 {
+			return errors.New("unlucky")
+		}
+		return nil
+	}})
+	now := time.Unix(1000, 0)
+	offer := func(generation uint64, set objects.Set) bool {
+		raw := objects.Canonical(set)
+		head := follower.Head{Generation: generation, Digest: objects.Digest(raw)}
+		f.Tick(now)
+		f.HandleVMs(now, 0, nil)
+		f.HandleResult(now, follower.Result{Command: follower.Command{Kind: follower.ReadHead}, Head: head, Parts: 1})
+		for _, cmd := range f.Tick(now) {
+			if cmd.Kind == follower.LoadSnapshot {
+				f.HandleResult(now, follower.Result{Command: cmd, Snapshot: raw})
+				now = now.Add(5 * time.Second)
+				return true
+			}
+		}
+		return false
+	}
+	assert.Assert(t, offer(1, fleetSet(18)))
+	assert.Assert(t, offer(2, invalid))
+	assert.Assert(t, !offer(2, invalid), "loaded again")
+	assert.Equal(t, f.InForce().Generation, uint64(1))
+	assert.Assert(t, offer(3, fleetSet(17)))
+	assert.Equal(t, f.InForce().Generation, uint64(3))
+}
+
+// Guards against fetches that move the whole snapshot for one changed target,
+// and against deltas that a wrong base or a corruption turns into something else.
+func TestFetchUsesVerifiedDeltas(t *testing.T) {
+	c := startedCluster(t, 6)
+	base := c.platform.head.Wire().Digest
+	c.publishNext()
+	c.run(spreadBound)
+	n := c.nodes[0]
+	response := n.follower.Serve(base)
+	whole := n.follower.Serve(nil)
+	assert.Equal(t, len(response.Snapshot), 0)
+	assert.Assert(t, len(response.Delta)*4 < len(whole.Snapshot), "%d of %d bytes", len(response.Delta), len(whole.Snapshot))
+
+	behind := follower.New(follower.Config{VM: "vm-x", Place: "pl-x"})
+	now := c.now
+	behind.PeerHead(now, "vm-000", n.follower.InForce())
+	cmd := behind.Tick(now)[0]
+	assert.Equal(t, cmd.Kind, follower.FetchPeer)
+	_, ok := behind.HandleResult(now, follower.Result{Command: cmd, Head: n.follower.InForce(), Delta: response.Delta})
+	assert.Assert(t, !ok, "adopted a delta without its base")
+	cmd = behind.Tick(now)[0]
+	assert.Equal(t, cmd.Base, "")
+	_, ok = behind.HandleResult(now, follower.Result{Command: cmd, Head: n.follower.InForce(), Snapshot: whole.Snapshot})
+	assert.Assert(t, ok)
+}
+
+// Guards against platform calls that grow with the fleet.
+func TestPlatformCallsStayFlat(t *testing.T) {
+	rate := map[int]float64{}
+	for _, size := range []int{7, 70, 140} {
+		c := newCluster(t, size, 7)
+		c.platform.vms = c.vmList
+		c.platform.publish(fleetSet(18))
+		c.settle()
+		calls := c.platform.calls
+		c.run(time.Minute)
+		rate[size] = float64(c.platform.calls-calls) / 60
+		t.Logf("%d balancers: %.2f platform calls per second", size, rate[size])
+	}
+	assert.Assert(t, rate[140] <= 1.5*rate[7])
+}
+
+// Guards against messages that make the control plane fail.
+func FuzzExchange(f *testing.F) {
+	f.Add("vm-001", []byte{1, 2, 3}, uint64(3), "10.0.0.1:1")
+	f.Fuzz(func(t *testing.T, vm string, raw []byte, number uint64, addr string) {
+		c := newCluster(t, 2, 1)
+		c.run(time.Second)
+		n := c.nodes[0]
+		members := []*wire.Member{nil, {Vm: vm, Control: addr, Data: addr, Incarnation: number, State: wire.MemberState(number % 7)}}
+		head := &wire.Head{Generation: number, Digest: raw}
+		n.HandleExchange(c.now, &wire.ExchangeRequest{Members: members, Head: head, Source: vm, MemberBuckets: raw, HealthBuckets: raw})
+		n.HandleExchangeResponse(c.now, &wire.ExchangeResponse{Members: members, Head: head, Source: vm, MemberBuckets: raw, HealthBuckets: raw})
+		n.HandleVMs(c.now, []platform.VM{{Name: vm}}, nil)
+		n.HandleResult(c.now, follower.Result{Command: follower.Command{Kind: follower.FetchPeer}, Head: follower.HeadFromWire(head), Snapshot: raw, Delta: raw})
+		c.run(3 * time.Second)
+	})
+}
--- /dev/null
+++ b/internal/coordination/agent/platform_test.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+var errDown = errors.New("platform down")
+
+// fakePlatform is the key-value service and VM list in fake time.
+type fakePlatform struct {
+	c         *cluster
+	head      follower.Head
+	shown     *follower.Head // an older head that reads return instead
+	revision  uint64
+	snapshots map[string][]byte
+	vms       func() []platform.VM
+	watches   []*watch
+
+	down  func(n *node) bool // no answer
+	delay time.Duration
+	calls int
+}
+
+type watch struct {
+	node    *node
+	process *Agent
+	command follower.Command
+	done    bool
+}
+
+// publish stores a configuration as the next generation and wakes the watches.
+func (f *fakePlatform) publish(set objects.Set) follower.Head {
+	raw := objects.Canonical(set)
+	f.head = follower.Head{Generation: f.head.Generation + 1, Digest: objects.Digest(raw)}
+	f.revision++
+	f.snapshots[f.head.Digest] = raw
+	for _, w := range f.watches {
+		f.answerWatch(w)
+	}
+	f.watches = nil
+	return f.head
+}
+
+func (f *fakePlatform) unreachable(n *node) bool { return f.down != nil && f.down(n) }
+
+func (f *fakePlatform) current() follower.Head {
+	if f.shown != nil {
+		return *f.shown
+	}
+	return f.head
+}
+
+func (f *fakePlatform) command(n *node, cmd follower.Command) {
+	if cmd.Kind == follower.FetchPeer {
+		f.fetch(n, cmd)
+		return
+	}
+	f.calls++
+	if cmd.Kind == follower.WatchHead {
+		f.watch(n, cmd)
+		return
+	}
+	timeout := 1500 * time.Millisecond
+	if cmd.Kind == follower.LoadSnapshot {
+		timeout = 9 * time.Second
+	}
+	if f.unreachable(n) || f.delay > timeout {
+		f.reply(n, timeout, func() { f.answer(n, cmd, errDown) })
+		return
+	}
+	f.reply(n, f.c.latency()+f.delay, func() { f.answer(n, cmd, nil) })
+}
+
+// reply runs in the process that asked, if it still runs.
+func (f *fakePlatform) reply(n *node, d time.Duration, run func()) {
+	process := n.Agent
+	f.c.after(d, func() {
+		if n.dead || n.Agent != process {
+			return
+		}
+		if n.frozen {
+			n.backlog = append(n.backlog, run)
+			return
+		}
+		run()
+	})
+}
+
+func (f *fakePlatform) answer(n *node, cmd follower.Command, err error) {
+	now := f.c.clock(n)
+	switch cmd.Kind {
+	case follower.ReadVMs:
+		var list []platform.VM
+		if f.vms != nil {
+			list = f.vms()
+		}
+		n.HandleVMs(now, list, err)
+	case follower.ReadHead, follower.WatchHead:
+		n.HandleResult(now, follower.Result{Command: cmd, Err: err, Head: f.current(), Parts: 1, Revision: f.revision})
+	case follower.LoadSnapshot:
+		n.HandleResult(now, follower.Result{Command: cmd, Err: err, Snapshot: f.snapshots[cmd.Head.Digest]})
+	}
+}
+
+func (f *fakePlatform) watch(n *node, cmd follower.Command) {
+	if f.unreachable(n) {
+		f.reply(n, 1500*time.Millisecond, func() { f.answer(n, cmd, errDown) })
+		return
+	}
+	w := &watch{node: n, process: n.Agent, command: cmd}
+	if f.revision > cmd.Revision {
+		f.answerWatch(w)
+		return
+	}
+	f.watches = append(f.watches, w)
+	f.reply(n, 25*time.Second, func() {
+		if !w.done {
+			w.done = true
+			n.HandleWatchEnded(f.c.clock(n))
+		}
+	})
+}
+
+func (f *fakePlatform) answerWatch(w *watch) {
+	if w.done || w.node.Agent != w.process || f.unreachable(w.node) {
+		return
+	}
+	w.done = true
+	f.reply(w.node, f.c.latency()+f.delay, func() { f.answer(w.node, w.command, nil) })
+}
+
+// fetch asks a peer for a snapshot.
+func (f *fakePlatform) fetch(n *node, cmd follower.Command) {
+	result := follower.Result{Command: cmd}
+	to := f.c.byName[cmd.Peer]
+	handle := func() int {
+		base := (follower.Head{Generation: 1, Digest: cmd.Base}).Wire().Digest
+		response := to.follower.Serve(base)
+		result.Head = follower.HeadFromWire(response.Head)
+		result.Snapshot, result.Delta = response.Snapshot, response.Delta
+		return len(response.Snapshot) + len(response.Delta) + 120
+	}
+	f.c.call(n, to, handle, func(ok bool) {
+		if !ok {
+			result.Err = errDown
+		}
+		n.HandleResult(f.c.clock(n), result)
+	})
+}
--- a/internal/coordination/follower/commands.go
+++ b/internal/coordination/follower/commands.go
@@ -11,6 +11,10 @@
 // Tick returns the commands that are due.
 func (f *Follower) Tick(now time.Time) []Command {
 	f.expire(now)
+	if !f.needsRead() {
+		f.failures = 0
+		f.clear(AlarmPlatformUnreachable)
+	}
 	var commands []Command
 	if c, ok := f.nextFetch(now); ok {
 		commands = append(commands, c)
@@ -64,7 +68,8 @@
 }
 
 // platformCommands returns reads of the platform: regular ones by readers, by
-// others only at the start and when no peer could deliver a wanted head.
+// others only at the start and when no peer could deliver a wanted head. While
+// the platform fails, a read of the head alone tries whether it answers again.
 func (f *Follower) platformCommands(now time.Time) []Command {
 	if now.Before(f.retryAt) {
 		return nil
@@ -79,6 +84,9 @@
 	if f.needsRead() && f.read.due(now) {
 		issue(&f.read, Command{Kind: ReadHead, Head: inForce})
 	}
+	if f.failures > 0 {
+		return commands
+	}
 	if f.stored.Generation > inForce.Generation && f.load.due(now) && !f.fetch.busy {
 		issue(&f.load, Command{Kind: LoadSnapshot, Head: f.stored, Parts: f.parts})
 	}
@@ -97,7 +105,7 @@
 
 // needsWatch waits for a first answer, which tells the revision to watch from.
 func (f *Follower) needsWatch() bool {
-	return f.reader && f.failures == 0 && f.sawHead
+	return f.reader && f.sawHead
 }
 
 // needsList reports whether the VM list is read: by readers, and once at the start.
--- a/internal/coordination/gossip/gossip.go
+++ b/internal/coordination/gossip/gossip.go
@@ -122,7 +122,10 @@
 // Index returns the bucket of a key hash.
 func (b Buckets) Index(keyHash uint64) int { return int(keyHash % uint64(len(b))) }
 
-// Add includes an entry.
+// Add includes an entry. Without buckets it does nothing.
 func (b Buckets) Add(keyHash, entryHash uint64) {
+	if len(b) == 0 {
+		return
+	}
 	b[b.Index(keyHash)] ^= uint32(entryHash ^ entryHash>>32)
 }
--- a/internal/coordination/health/describe.go
+++ b/internal/coordination/health/describe.go
@@ -41,3 +41,11 @@
 	}
 	return lines
 }
+
+// Probers returns the balancers that probe a target, by rank.
+func (m *Machine) Probers(name string) []string {
+	if t := m.targets[name]; t != nil {
+		return t.probers
+	}
+	return nil
+}
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -118,17 +118,19 @@
 
 // Machine holds the health view of one balancer. It is not safe for concurrent use.
 type Machine struct {
-	cfg      Config
-	members  int                    // in the view
-	eligible map[string][]candidate // by place
-	targets  map[string]*target
-	names    []string // in order
-	queue    *gossip.Queue[*wire.TargetHealth]
-	version  uint64
-	tokens   float64 // load updates that may be sent now
-	refill   time.Time
-	changed  bool
-	urgent   bool
+	cfg        Config
+	members    int                    // in the view
+	eligible   map[string][]candidate // by place
+	targets    map[string]*target
+	names      []string  // in order
+	duties     []*target // probed by this balancer, in order
+	nextExpiry time.Time
+	queue      *gossip.Queue[*wire.TargetHealth]
+	version    uint64
+	tokens     float64 // load updates that may be sent now
+	refill     time.Time
+	changed    bool
+	urgent     bool
 }
 
 // New returns an empty health view.
@@ -186,6 +188,7 @@
 
 // assign chooses the probers of each target. Reports of others age from now on.
 func (m *Machine) assign(now time.Time) {
+	m.duties = m.duties[:0]
 	for _, name := range m.names {
 		t := m.targets[name]
 		t.probers = m.choose(t)
@@ -201,6 +204,7 @@
 			t.own = &probing{next: now}
 		}
 		t.own.rank = rank
+		m.duties = append(m.duties, t)
 	}
 }
 
--- a/internal/coordination/health/probing.go
+++ b/internal/coordination/health/probing.go
@@ -20,13 +20,12 @@
 	m.refillTokens(now)
 	m.expireReports(now)
 	var checks []Check
-	for _, name := range m.names {
-		t := m.targets[name]
-		if t.own == nil || now.Before(t.own.next) {
+	for _, t := range m.duties {
+		if now.Before(t.own.next) {
 			continue
 		}
 		t.own.next = m.nextProbe(now, t.own)
-		checks = append(checks, Check{Target: name, Address: t.Health})
+		checks = append(checks, Check{Target: t.Name, Address: t.Health})
 	}
 	return checks
 }
--- a/internal/coordination/health/reports.go
+++ b/internal/coordination/health/reports.go
@@ -52,6 +52,10 @@
 
 // expireReports drops the reports of probers that have been gone for the bound.
 func (m *Machine) expireReports(now time.Time) {
+	if now.Before(m.nextExpiry) {
+		return
+	}
+	m.nextExpiry = now.Add(time.Second)
 	for _, t := range m.targets {
 		for vm, r := range t.reports {
 			if !r.goneAt.IsZero() && now.Sub(r.goneAt) > m.cfg.ReportBound {
--- a/internal/coordination/membership/config.go
+++ b/internal/coordination/membership/config.go
@@ -53,8 +53,8 @@
 const (
 	defaultProbeInterval = 500 * time.Millisecond
 	defaultAckTimeout    = 150 * time.Millisecond
-	defaultProbeTimeout  = 450 * time.Millisecond
-	defaultSuspicion     = 1200 * time.Millisecond
+	defaultProbeTimeout  = 400 * time.Millisecond
+	defaultSuspicion     = time.Second
 	defaultFreezeGap     = time.Second
 	defaultListStaleness = 30 * time.Second
 	defaultDeadRetention = 24 * time.Hour
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -55,6 +55,7 @@
 	lastTick time.Time
 	lastSlot int64
 	urgent   bool
+	suspects map[string]*member
 	pushTo   map[string]bool // members that must hear of an update about themselves
 	order    []string        // live members with self, ordered by name
 	changed  bool            // the view changed since ViewChanged
@@ -83,6 +84,7 @@
 		pending:    map[uint64]*pending{},
 		relays:     map[uint64]*relayed{},
 		candidates: map[string]netip.AddrPort{},
+		suspects:   map[string]*member{},
 		pushTo:     map[string]bool{},
 		changed:    true,
 	}
@@ -202,28 +204,25 @@
 	return m.members[vm]
 }
 
-// others returns the live members other than this balancer and one excluded VM, in order.
-func (m *Machine) others(exclude string) []*member {
-	list := make([]*member, 0, len(m.order))
-	for _, vm := range m.order {
-		if vm != m.self.vm && vm != exclude {
+// sample returns up to n random live members other than this balancer and exclude.
+func (m *Machine) sample(n int, exclude string) []*member {
+	var list []*member
+	left := len(m.order)
+	taken := map[int]bool{}
+	for len(list) < n && left > 0 {
+		i := m.rng.IntN(len(m.order))
+		if taken[i] {
+			continue
+		}
+		taken[i] = true
+		left--
+		if vm := m.order[i]; vm != m.self.vm && vm != exclude {
 			list = append(list, m.members[vm])
 		}
 	}
 	return list
 }
 
-// sample returns up to n random live members other than this balancer and exclude.
-func (m *Machine) sample(n int, exclude string) []*member {
-	list := m.others(exclude)
-	n = min(n, len(list))
-	for i := range n {
-		j := i + m.rng.IntN(len(list)-i)
-		list[i], list[j] = list[j], list[i]
-	}
-	return list[:n]
-}
-
 // enter adds a member to the order of live members.
 func (m *Machine) enter(vm string) {
 	if i, found := slices.BinarySearch(m.order, vm); !found {
--- a/internal/coordination/membership/probing.go
+++ b/internal/coordination/membership/probing.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination/gossip"
@@ -22,9 +23,9 @@
 	m.lastTick = now
 	out := m.expirePending(now)
 	m.expireSuspicions(now)
-	m.forget(now)
 	if slot := m.slot(now); slot != m.lastSlot {
 		m.lastSlot = slot
+		m.forget(now)
 		out = append(out, m.probeSlot(now, slot)...)
 	}
 	return append(out, m.pushUrgent()...)
@@ -48,10 +49,8 @@
 	m.counts.Freezes++
 	clear(m.pending)
 	clear(m.relays)
-	for _, x := range m.members {
-		if x.state == suspect {
-			x.deadline = now.Add(m.cfg.Suspicion)
-		}
+	for _, x := range m.suspects {
+		x.deadline = now.Add(m.cfg.Suspicion)
 	}
 }
 
@@ -100,9 +99,9 @@
 }
 
 func (m *Machine) expireSuspicions(now time.Time) {
-	for _, vm := range sortedKeys(m.members) {
-		x := m.members[vm]
-		if x.state == suspect && !now.Before(x.deadline) {
+	for _, vm := range sortedKeys(m.suspects) {
+		x := m.suspects[vm]
+		if !now.Before(x.deadline) {
 			m.enterState(now, x, dead)
 			m.announce(x)
 		}
@@ -128,12 +127,7 @@
 	if n < 2 {
 		return nil
 	}
-	own := 0
-	for i, vm := range m.order {
-		if vm == m.self.vm {
-			own = i
-		}
-	}
+	own, _ := slices.BinarySearch(m.order, m.self.vm)
 	distance := 1 + int(slot%int64(n-1))
 	return m.members[m.order[(own+distance)%n]]
 }
--- a/internal/coordination/membership/updates.go
+++ b/internal/coordination/membership/updates.go
@@ -73,6 +73,11 @@
 	if severity(u.State) == 0 && x.state == suspect {
 		m.counts.Refutations++
 	}
+	if u.State == dead && x.live() {
+		x.state = alive
+		m.doubt(now, x)
+		return
+	}
 	m.enterState(now, x, u.State)
 	m.announce(x)
 }
@@ -88,12 +93,24 @@
 	if severity(u.State) <= severity(x.state) {
 		return
 	}
-	state := u.State
-	if state == dead && x.state == alive {
-		// After a partition the other side still calls live members dead: they get the time to refute.
-		state = suspect
+	if u.State == dead {
+		m.doubt(now, x)
+		return
+	}
+	m.enterState(now, x, u.State)
+	m.announce(x)
+}
+
+// doubt treats the death that another balancer declared as a suspicion. After
+// a partition the other side still calls live members dead, and they must get
+// the time to refute. Half of the usual time is enough, as the declaring
+// balancer waited before.
+func (m *Machine) doubt(now time.Time, x *member) {
+	if x.state == suspect {
+		return
 	}
-	m.enterState(now, x, state)
+	m.enterState(now, x, suspect)
+	x.deadline = now.Add(m.cfg.Suspicion / 2)
 	m.announce(x)
 }
 
@@ -106,6 +123,7 @@
 	wasDead := x.state == dead
 	x.state = state
 	x.changed = now
+	delete(m.suspects, x.vm)
 	switch state {
 	case alive:
 		if wasDead {
@@ -113,6 +131,7 @@
 		}
 		m.enter(x.vm)
 	case suspect:
+		m.suspects[x.vm] = x
 		x.deadline = now.Add(m.cfg.Suspicion)
 		m.counts.Suspicions++
 		m.pushTo[x.vm] = true
--- a/internal/transport/control/loop.go
+++ b/internal/transport/control/loop.go
@@ -39,7 +39,7 @@
 		case <-ticker.C:
 			p.tick(ctx)
 		case r := <-p.probes:
-			p.carryOut(ctx, p.agent.HandleProbe(time.Now(), r.from, r.probe))
+			p.send(p.agent.HandleProbe(time.Now(), r.from, r.probe))
 		case f := <-p.requests:
 			f()
 			p.tick(ctx)
