Add parsing, checks and differences of operator objects

Files are read with every fault at once: object, field, what is wrong, what would be right and the nearest existing name. One table of fields carries types, bounds, defaults and references; the parser, the checks and the differences follow it, so a new field is checked as soon as it is listed.

A number written as 0 in an optional field is refused, because the zero would be taken for a field that is left out and get the default.

--- a/internal/objects/canonical.go
+++ b/internal/objects/canonical.go
@@ -26,21 +26,8 @@
 
 // WithDefaults returns a copy with defaults filled in and every list ordered by name.
 func WithDefaults(set Set) Set {
-	out := Set{
-		Places:   slices.Clone(set.Places),
-		Services: slices.Clone(set.Services),
-		Pools:    slices.Clone(set.Pools),
-		Targets:  slices.Clone(set.Targets),
-	}
-	for i := range out.Services {
-		out.Services[i].fillDefaults()
-	}
-	for i := range out.Pools {
-		out.Pools[i].fillDefaults()
-	}
-	for i := range out.Targets {
-		out.Targets[i].fillDefaults()
-	}
+	out := set.clone()
+	out.fillDefaults()
 	slices.SortStableFunc(out.Places, func(a, b Place) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(out.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(out.Pools, func(a, b Pool) int { return cmp.Compare(a.Name, b.Name) })
@@ -57,6 +44,27 @@
 	DefaultTargetWeight  = 100
 )
 
+func (s Set) clone() Set {
+	return Set{
+		Places:   slices.Clone(s.Places),
+		Services: slices.Clone(s.Services),
+		Pools:    slices.Clone(s.Pools),
+		Targets:  slices.Clone(s.Targets),
+	}
+}
+
+func (s *Set) fillDefaults() {
+	for i := range s.Services {
+		s.Services[i].fillDefaults()
+	}
+	for i := range s.Pools {
+		s.Pools[i].fillDefaults()
+	}
+	for i := range s.Targets {
+		s.Targets[i].fillDefaults()
+	}
+}
+
 func (s *Service) fillDefaults() {
 	s.Weight = cmp.Or(s.Weight, DefaultWeight)
 	s.Preference = cmp.Or(s.Preference, DefaultPreference)
--- /dev/null
+++ b/internal/objects/fields.go
@@ -0,0 +1,134 @@
+package objects
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// FieldType is the type of a field as an operator writes it.
+type FieldType string
+
+// Types of fields.
+const (
+	TypeName      FieldType = "name"
+	TypeReference FieldType = "reference"
+	TypeAddress   FieldType = "IPv4 address"
+	TypeEndpoint  FieldType = "IPv4 address:port"
+	TypeInteger   FieldType = "integer"
+	TypeChoice    FieldType = "choice"
+	TypeBoolean   FieldType = "boolean"
+)
+
+// MaxNameLength is the longest object name, in bytes. It is the length of a DNS label.
+const MaxNameLength = 63
+
+// Field describes one field of an object. Checks and docs/configuration.md both follow it.
+type Field struct {
+	Name     string
+	Type     FieldType
+	Required bool
+	// Min and Max bound an integer, both inclusive.
+	Min, Max uint64
+	// Unit is the unit of an integer.
+	Unit string
+	// Values are the values of a choice.
+	Values []string
+	// Refers is the kind of object that a reference names.
+	Refers string
+	// Default is the value of a field that is left out.
+	Default string
+	// Meaning says what the field does.
+	Meaning string
+}
+
+// Kind describes one kind of object.
+type Kind struct {
+	// Name is the singular, as messages use it.
+	Name string
+	// List is the key of the list in a file.
+	List string
+	// Max is the largest number of objects of this kind.
+	Max    int
+	Fields []Field
+}
+
+// Bound returns the legal values in words.
+func (f Field) Bound() string {
+	switch f.Type {
+	case TypeName:
+		return fmt.Sprintf("1 to %d of a-z, 0-9 and -, not starting or ending with -", MaxNameLength)
+	case TypeReference:
+		return "name of a " + f.Refers
+	case TypeInteger:
+		return fmt.Sprintf("%d to %d", f.Min, f.Max)
+	case TypeChoice:
+		return strings.Join(f.Values, ", ")
+	case TypeBoolean:
+		return "true, false"
+	case TypeEndpoint:
+		return "unicast address, port 1 to 65535"
+	default:
+		return "unicast address"
+	}
+}
+
+// Kinds lists the kinds of objects in the order of a file. The limits keep the
+// canonical JSON of the largest legal set within the parts of one snapshot.
+var Kinds = []Kind{
+	{Name: "place", List: "places", Max: 64, Fields: []Field{
+		{Name: "name", Type: TypeName, Required: true, Meaning: "names the failure domain; VMs use it in their settings"},
+	}},
+	{Name: "service", List: "services", Max: 2000, Fields: []Field{
+		{Name: "name", Type: TypeName, Required: true, Meaning: "names the service"},
+		{Name: "address", Type: TypeAddress, Required: true, Meaning: "address that callers use; never the address of a target"},
+		{Name: "port", Type: TypeInteger, Required: true, Min: 1, Max: 65535, Meaning: "port that callers use; address, port and transport are unique (quic and udp share one transport)"},
+		{Name: "protocol", Type: TypeChoice, Required: true, Values: []string{string(ProtocolTCP), string(ProtocolUDP), string(ProtocolQUIC)}, Meaning: "protocol of the callers; a service that is not idempotent uses tcp or quic"},
+		{Name: "pool", Type: TypeReference, Required: true, Refers: "pool", Meaning: "pool of targets; a pool serves one service"},
+		{Name: "weight", Type: TypeChoice, Values: []string{string(WeightNormal), string(WeightHigh)}, Default: string(DefaultWeight), Meaning: "priority of the service's traffic"},
+		{Name: "preference", Type: TypeChoice, Values: []string{string(PreferenceAffinity), string(PreferenceEvenness)}, Default: string(DefaultPreference), Meaning: "what the choice of a target favours: few exceptions from the table, or an even spread"},
+		{Name: "idempotent", Type: TypeBoolean, Default: "false", Meaning: "states that running a request twice does no harm"},
+		{Name: "open_timeout_ms", Type: TypeInteger, Min: 100, Max: 60000, Unit: "ms", Default: fmt.Sprint(DefaultOpenTimeoutMS), Meaning: "how long a target may leave an opener unanswered before the next target is tried"},
+	}},
+	{Name: "pool", List: "pools", Max: 2000, Fields: []Field{
+		{Name: "name", Type: TypeName, Required: true, Meaning: "names the pool"},
+		{Name: "slots", Type: TypeInteger, Required: true, Min: 1, Max: 65535, Unit: "requests", Meaning: "requests that one target runs at a time"},
+		{Name: "connections", Type: TypeInteger, Required: true, Min: 1, Max: 1000000, Unit: "flows", Meaning: "open flows that one target takes"},
+		{Name: "ramp_seconds", Type: TypeInteger, Min: 1, Max: 3600, Unit: "s", Default: fmt.Sprint(DefaultRampSeconds), Meaning: "how long a target that starts takes to reach its full share"},
+	}},
+	{Name: "target", List: "targets", Max: 16000, Fields: []Field{
+		{Name: "name", Type: TypeName, Required: true, Meaning: "names the target"},
+		{Name: "pool", Type: TypeReference, Required: true, Refers: "pool", Meaning: "pool that the target belongs to"},
+		{Name: "place", Type: TypeReference, Required: true, Refers: "place", Meaning: "place of the target"},
+		{Name: "address", Type: TypeAddress, Required: true, Meaning: "address of the target; never the address of a service"},
+		{Name: "port", Type: TypeInteger, Required: true, Min: 1, Max: 65535, Meaning: "port of the target; address and port belong to one target"},
+		{Name: "weight", Type: TypeInteger, Min: 1, Max: 10000, Unit: "percent of the usual share", Default: fmt.Sprint(DefaultTargetWeight), Meaning: "scales the share of new flows"},
+		{Name: "drain", Type: TypeBoolean, Default: "false", Meaning: "stops new flows to the target; established flows go on"},
+		{Name: "health", Type: TypeEndpoint, Meaning: "HTTP endpoint for health and load; without it the target is judged by its answers to openers alone"},
+	}},
+}
+
+func kindNamed(name string) Kind {
+	for _, k := range Kinds {
+		if k.Name == name {
+			return k
+		}
+	}
+	panic("unknown kind " + name) // kinds are part of the program
+}
+
+// field returns the struct field with a JSON name.
+func field(object reflect.Value, name string) reflect.Value {
+	for i := range object.NumField() {
+		tag, _, _ := strings.Cut(object.Type().Field(i).Tag.Get("json"), ",")
+		if tag == name {
+			return object.Field(i)
+		}
+	}
+	panic("no field " + name + " in " + object.Type().Name()) // the table follows the types; a test checks it
+}
+
+// list returns the objects of one kind, addressable.
+func (s *Set) list(kind Kind) reflect.Value {
+	return field(reflect.ValueOf(s).Elem(), kind.List)
+}
--- /dev/null
+++ b/internal/objects/objects_test.go
@@ -0,0 +1,250 @@
+package objects
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// legal is a small configuration in which every check passes without a warning.
+const legal = `{
+ "places": [{"name": "pl-a"}, {"name": "pl-b"}],
+ "services": [
+  {"name": "quote-desk", "address": "10.1.0.1", "port": 443, "protocol": "quic", "pool": "quotes", "weight": "high"},
+  {"name": "stock-registry", "address": "10.1.0.2", "port": 80, "protocol": "tcp", "pool": "stocks"}
+ ],
+ "pools": [{"name": "quotes", "slots": 2, "connections": 2000}, {"name": "stocks", "slots": 2, "connections": 2000}],
+ "targets": [
+  {"name": "q-01", "pool": "quotes", "place": "pl-a", "address": "10.2.0.1", "port": 8443},
+  {"name": "q-02", "pool": "quotes", "place": "pl-b", "address": "10.2.0.2", "port": 8443, "weight": 50},
+  {"name": "s-01", "pool": "stocks", "place": "pl-a", "address": "10.2.0.3", "port": 80},
+  {"name": "s-02", "pool": "stocks", "place": "pl-b", "address": "10.2.0.4", "port": 80, "health": "10.2.0.4:81"}
+ ]}`
+
+func parse(t *testing.T, text string) (Set, []Fault) {
+	t.Helper()
+	return Parse([]File{{Name: "set.json", Data: []byte(text)}})
+}
+
+func lines(faults []Fault) string {
+	var out []string
+	for _, f := range faults {
+		out = append(out, f.Error())
+	}
+	return strings.Join(out, "\n")
+}
+
+// Guards against a check that lets a broken set through, names the wrong
+// object or field, or reports a second fault for the same cause.
+func TestParseReportsEachFault(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"misspelled reference", `"pool": "quotes", "place": "pl-a"`, `"pool": "qoutes", "place": "pl-a"`,
+			`target q-01: pool: there is no pool "qoutes"; expected name of a pool; did you mean "quotes"?`},
+		{"unknown field", `"weight": 50`, `"wieght": 50`,
+			`target q-02: wieght: is not a field of a target; expected name, pool, place, address, port, weight, drain, health; did you mean "weight"?`},
+		{"unknown list", `"pools": [`, `"targets": [], "pool": [`, ""},
+		{"explicit zero", `"weight": 50`, `"weight": 0`, `target q-02: weight: 0 is not valid; expected integer, 1 to 10000`},
+		{"out of bounds", `"weight": 50`, `"weight": 10001`, `target q-02: weight: 10001 is out of bounds; expected 1 to 10000`},
+		{"negative", `"slots": 2, "connections": 2000}, {`, `"slots": -2, "connections": 2000}, {`,
+			`pool quotes: slots: -2 is not valid; expected integer, 1 to 65535`},
+		{"wrong type", `"port": 8443, "weight"`, `"port": "8443", "weight"`, `target q-02: port: "8443" is not valid; expected integer, 1 to 65535`},
+		{"missing", `"port": 80, "protocol": "tcp", "pool"`, `"protocol": "tcp", "pool"`, `service stock-registry: port: is missing; expected integer, 1 to 65535`},
+		{"IPv6", `"10.2.0.1"`, `"fd00::1"`, `target q-01: address: fd00::1 is not a unicast IPv4 address; expected unicast address`},
+		{"multicast", `"10.2.0.1"`, `"224.0.0.1"`, `target q-01: address: 224.0.0.1 is not a unicast IPv4 address; expected unicast address`},
+		{"not an address", `"10.2.0.1"`, `"10.2.0.256"`, `target q-01: address: "10.2.0.256" is not valid; expected IPv4 address, unicast address`},
+		{"name twice", `"s-02"`, `"s-01"`, `target s-01: name: is used by more than one target; expected a name of its own`},
+		{"illegal name", `"s-02"`, `"S_02"`, `target S_02: name: "S_02" is not a legal name; expected 1 to 63 of a-z, 0-9 and -, not starting or ending with -`},
+		{"no name", `"name": "s-02", `, ``, `targets[3]: name: is missing; expected name, 1 to 63 of a-z, 0-9 and -, not starting or ending with -`},
+		{"target address of a service", `"10.2.0.1"`, `"10.1.0.2"`,
+			`target q-01: address: 10.1.0.2 is the address of service stock-registry; expected an address that no service uses`},
+		{"target endpoint twice", `"10.2.0.2", "port": 8443`, `"10.2.0.3", "port": 80`,
+			`target s-01: address: 10.2.0.3:80 already belongs to target q-02; expected an address and port of its own`},
+		{"service endpoint twice", `"10.1.0.2", "port": 80, "protocol": "tcp"`, `"10.1.0.1", "port": 443, "protocol": "udp", "idempotent": true`,
+			`service stock-registry: address: 10.1.0.1:443/udp is already used by service quote-desk; expected an address, port and transport of its own`},
+		{"pool of two services", `"pool": "stocks"}`, `"pool": "quotes"}`,
+			`service stock-registry: pool: pool quotes already serves service quote-desk; expected a pool of its own`},
+		{"udp without idempotence", `"tcp"`, `"udp"`,
+			`service stock-registry: protocol: udp cannot keep a request that is not idempotent from running twice; expected tcp or quic, or idempotent true`},
+		{"unknown protocol", `"tcp"`, `"http"`, `service stock-registry: protocol: "http" is not a known value; expected tcp, udp, quic`},
+		{"health endpoint", `"10.2.0.4:81"`, `"health.example:81"`,
+			`target s-02: health: "health.example:81" is not an IPv4 address:port; expected unicast address, port 1 to 65535`},
+		{"key twice", `"weight": 50`, `"weight": 50, "weight": 60`, `target q-02: weight: is given twice; expected one value`},
+		{"not an object", `{"name": "pl-a"}`, `7`, ""},
+		{"null", `"weight": 50`, `"weight": null`, `target q-02: weight: null is not valid; expected integer, 1 to 10000`},
+		{"syntax", `"weight": 50`, `"weight": `, ""},
+		{"trailing content", `]}`, `]} {}`, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(legal, c.old))
+			_, faults := parse(t, strings.Replace(legal, c.old, c.new, 1))
+			if c.want == "" {
+				assert.Assert(t, len(faults) > 0)
+				return
+			}
+			assert.Equal(t, lines(faults), c.want)
+		})
+	}
+}
+
+// Guards against a check that stops at the first fault.
+func TestParseReportsAllFaultsAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`"tcp"`, `"udp"`, `"weight": 50`, `"weight": 0, "x": 1`, `"10.2.0.3"`, `"10.2.0.4"`, `"pl-a", "a`, `"pl-c", "a`).Replace(legal)
+	_, faults := parse(t, text)
+	fields := map[string]bool{}
+	for _, f := range faults {
+		fields[f.Object+" "+f.Field] = true
+	}
+	for _, want := range []string{"service stock-registry protocol", "target q-02 weight", "target q-02 x", "target s-02 address", "target q-01 place", "target s-01 place"} {
+		assert.Assert(t, fields[want], "%s is missing in:\n%s", want, lines(faults))
+	}
+	assert.Equal(t, len(faults), 6, lines(faults))
+}
+
+// Guards against a syntax error that is reported without its place, or that
+// makes every reference into the file look wrong.
+func TestParseLocatesSyntaxError(t *testing.T) {
+	_, faults := Parse([]File{{"good.json", []byte(`{"targets": [{"name": "t", "pool": "p"}]}`)}, {"bad.json", []byte("{\n \"pools\": [}")}})
+	assert.Equal(t, len(faults), 1)
+	assert.Equal(t, faults[0].Object, "file bad.json")
+	assert.Equal(t, faults[0].Field, "line 2, column 12")
+}
+
+// Guards against an input that stops the program, a set that passes although a
+// check fails, and a canonical form that does not read back as the same set.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(legal))
+	f.Add([]byte(`{"targets": [{"name": 1}, [], null], "x": {}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, faults := Parse([]File{{Name: "f", Data: data}})
+		if len(faults) > 0 {
+			return
+		}
+		canonical := Canonical(set)
+		again, faults := Parse([]File{{Name: "f", Data: canonical}})
+		assert.Equal(t, lines(faults), "")
+		assert.Equal(t, string(Canonical(again)), string(canonical))
+		assert.Equal(t, len(Changes(set, again)), 0)
+	})
+}
+
+// Guards against a digest that depends on the order or the defaults written in the files.
+func TestCanonicalIgnoresOrderAndDefaults(t *testing.T) {
+	set, faults := parse(t, legal)
+	assert.Equal(t, lines(faults), "")
+	shuffled := WithDefaults(set)
+	shuffled.Targets[0], shuffled.Targets[3] = shuffled.Targets[3], shuffled.Targets[0]
+	shuffled.Targets[1].Weight = 0 // q-02 has weight 50; the zero stands for 100
+	assert.Assert(t, Digest(Canonical(shuffled)) != Digest(Canonical(set)))
+	shuffled.Targets[1].Weight = 50
+	shuffled.Pools[0].RampSeconds = 0
+	assert.Equal(t, Digest(Canonical(shuffled)), Digest(Canonical(set)))
+}
+
+// Guards against warnings that are missing, or that cry wolf on a sound set.
+func TestWarnings(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Set)
+		want   string
+	}{
+		{"sound", func(*Set) {}, ""},
+		{"no target in a place", func(s *Set) { s.Targets = s.Targets[1:] }, "pool quotes: has no target in pl-a"},
+		{"last target of a place drains", func(s *Set) { s.Targets[0].Drain = true }, "pool quotes: the last target in pl-a drains"},
+		{"last target drains", func(s *Set) { s.Targets[0].Drain, s.Targets[1].Drain = true, true }, "pool quotes: the last target drains; service quote-desk refuses"},
+		{"no target", func(s *Set) { s.Targets = s.Targets[2:] }, "pool quotes: has no target; service quote-desk refuses"},
+		{"unused pool", func(s *Set) { s.Pools = append(s.Pools, Pool{Name: "spare", Slots: 1, Connections: 1}) }, "pool spare: no service uses it"},
+	}
+	for _, c := range cases {
+		set, _ := parse(t, legal)
+		c.change(&set)
+		got := strings.Join(Warnings(set), "\n")
+		assert.Assert(t, cmp.Contains(got, c.want), c.name)
+		assert.Equal(t, got == "", c.want == "", c.name)
+	}
+}
+
+// Guards against a difference that the operator is not told of, or is told of in the wrong words.
+func TestChangesInWords(t *testing.T) {
+	before, _ := parse(t, legal)
+	after := before.clone()
+	after.Targets[0].Drain = true
+	after.Targets[1].Weight = 100
+	after.Targets = append(after.Targets[:3], Target{Name: "s-03", Pool: "stocks", Place: "pl-b", Address: after.Targets[3].Address, Port: 82})
+	after.Services[0].Preference = PreferenceEvenness
+	after.Services[0].Port, after.Services[1].Name = 444, "registry"
+	assert.DeepEqual(t, Changes(before, after), []string{
+		"service quote-desk: port from 443 to 444",
+		"service quote-desk: preference from affinity to evenness",
+		"service registry added at 10.1.0.2:80/tcp, pool stocks",
+		"service stock-registry removed",
+		"quote-desk: target q-01 drains",
+		"quote-desk: target q-02: weight from 50 to 100",
+		"stock-registry: target s-02 removed",
+		"registry: target s-03 added at 10.2.0.4:82 in pl-b",
+	})
+	assert.DeepEqual(t, Changes(before, before), []string(nil))
+	assert.Equal(t, len(ChangeWarnings(before, after)), 1)
+}
+
+// Guards against a field that is missing in the table of fields, which would go unchecked.
+func TestFieldTableFollowsTypes(t *testing.T) {
+	var set Set
+	for _, kind := range Kinds {
+		object := set.list(kind).Type().Elem()
+		assert.Equal(t, object.NumField(), len(kind.Fields), kind.Name)
+		for i, f := range kind.Fields {
+			tag, _, _ := strings.Cut(object.Field(i).Tag.Get("json"), ",")
+			assert.Equal(t, tag, f.Name)
+			assert.Equal(t, object.Field(i).Type.Kind() == reflect.Bool, f.Type == TypeBoolean, f.Name)
+		}
+	}
+}
+
+// Guards against a set at the limits whose snapshot does not fit into its parts (8 MiB).
+func TestLargestSetFitsSnapshot(t *testing.T) {
+	bytes := 0
+	for _, kind := range Kinds {
+		object := reflect.New(reflect.ValueOf(&Set{}).Elem().FieldByName(strings.ToUpper(kind.List[:1]) + kind.List[1:]).Type().Elem()).Elem()
+		for _, f := range kind.Fields {
+			switch v := field(object, f.Name); f.Type {
+			case TypeInteger:
+				v.SetUint(f.Max)
+			case TypeBoolean:
+				v.SetBool(true)
+			case TypeAddress:
+				assert.NilError(t, json.Unmarshal([]byte(`"223.255.255.255"`), v.Addr().Interface()))
+			default:
+				v.SetString(strings.Repeat("x", MaxNameLength))
+			}
+		}
+		one, err := json.Marshal(object.Interface())
+		assert.NilError(t, err)
+		bytes += kind.Max * (len(one) + 1)
+	}
+	assert.Assert(t, bytes < 8<<20, "%d bytes", bytes)
+}
+
+// Guards against files of a folder that are skipped, and against an empty folder read as an empty configuration.
+func TestReadPaths(t *testing.T) {
+	folder := t.TempDir()
+	_, err := ReadPaths([]string{folder})
+	assert.ErrorContains(t, err, "contains no .json file")
+	for i, name := range []string{"b.json", "a.json", ".hidden.json", "notes.txt"} {
+		assert.NilError(t, os.WriteFile(filepath.Join(folder, name), []byte(fmt.Sprint(i)), 0o600))
+	}
+	files, err := ReadPaths([]string{folder, filepath.Join(folder, "notes.txt")})
+	assert.NilError(t, err)
+	var got []string
+	for _, f := range files {
+		got = append(got, string(f.Data))
+	}
+	assert.DeepEqual(t, got, []string{"1", "0", "3"})
+}
--- /dev/null
+++ b/internal/objects/parse.go
@@ -0,0 +1,280 @@
+package objects
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// File is one configuration file.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// maxFileBytes bounds one file; the largest legal set takes less than 16 MB.
+const maxFileBytes = 64 << 20
+
+// ReadPaths reads files and folders. Of a folder it takes the *.json files, by name, not those of subfolders.
+func ReadPaths(paths []string) ([]File, error) {
+	var files []File
+	for _, path := range paths {
+		names, err := filesAt(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, name := range names {
+			data, err := readFile(name)
+			if err != nil {
+				return nil, err
+			}
+			files = append(files, File{Name: name, Data: data})
+		}
+	}
+	return files, nil
+}
+
+func filesAt(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() && strings.HasSuffix(e.Name(), ".json") && !strings.HasPrefix(e.Name(), ".") {
+			names = append(names, filepath.Join(path, e.Name()))
+		}
+	}
+	if len(names) == 0 {
+		return nil, errors.Errorf("folder %s: contains no .json file", path)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	info, err := os.Stat(name)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if info.Size() > maxFileBytes {
+		return nil, errors.Errorf("file %s: has %d bytes; at most %d are read", name, info.Size(), maxFileBytes)
+	}
+	data, err := os.ReadFile(name)
+	return data, errors.WithStack(err)
+}
+
+// Parse reads the objects of files into one set and checks the whole set.
+// It returns the set with defaults and every fault.
+func Parse(files []File) (Set, []Fault) {
+	p := parser{}
+	for _, f := range files {
+		p.file(f)
+	}
+	if p.unreadable {
+		return p.set, p.faults // references into an unreadable file would all look wrong
+	}
+	reported := map[[2]string]bool{}
+	for _, f := range p.faults {
+		reported[[2]string{f.Object, f.Field}] = true
+	}
+	for _, f := range Check(p.set) {
+		if !reported[[2]string{f.Object, f.Field}] {
+			p.faults = append(p.faults, f)
+		}
+	}
+	return WithDefaults(p.set), p.faults
+}
+
+type parser struct {
+	set        Set
+	faults     []Fault
+	unreadable bool
+}
+
+// member is one key of a JSON object with its value.
+type member struct {
+	key   string
+	value json.RawMessage
+}
+
+func (p *parser) fault(object, field, problem, expected, near string) {
+	p.faults = append(p.faults, Fault{Object: object, Field: field, Problem: problem, Expected: expected, Nearest: near})
+}
+
+func (p *parser) file(f File) {
+	object := "file " + f.Name
+	members, err := decodeMembers(f.Data)
+	if err != nil {
+		p.unreadable = true
+		p.fault(object, position(f.Data), "is not readable: "+err.Error(), "a JSON object with the lists places, services, pools and targets", "")
+		return
+	}
+	lists := make([]string, len(Kinds))
+	for i, k := range Kinds {
+		lists[i] = k.List
+	}
+	seen := map[string]bool{}
+	for _, m := range members {
+		if seen[m.key] {
+			p.fault(object, m.key, "is given twice", "one list", "")
+			continue
+		}
+		seen[m.key] = true
+		p.list(object, m, lists)
+	}
+}
+
+func (p *parser) list(object string, m member, lists []string) {
+	for _, kind := range Kinds {
+		if kind.List != m.key {
+			continue
+		}
+		var values []json.RawMessage
+		if err := json.Unmarshal(m.value, &values); err != nil || values == nil {
+			p.unreadable = true
+			p.fault(object, m.key, "is not a list", "a list of objects", "")
+			return
+		}
+		for _, v := range values {
+			p.object(kind, v)
+		}
+		return
+	}
+	p.fault(object, m.key, "is not a known list", strings.Join(lists, ", "), nearest(m.key, lists))
+}
+
+// object adds one object to the set, with the fields that could be read.
+func (p *parser) object(kind Kind, raw json.RawMessage) {
+	list := p.set.list(kind)
+	value := reflect.New(list.Type().Elem()).Elem()
+	members, err := decodeMembers(raw)
+	for _, m := range members {
+		if m.key == "name" {
+			_ = json.Unmarshal(m.value, field(value, "name").Addr().Interface()) // reported with the other fields
+		}
+	}
+	object := label(kind, value, list.Len())
+	list.Set(reflect.Append(list, value))
+	value = list.Index(list.Len() - 1)
+	if err != nil {
+		p.fault(object, "", "is not a JSON object", "an object with the fields "+strings.Join(fieldNames(kind), ", "), "")
+		return
+	}
+	seen := map[string]bool{}
+	for _, m := range members {
+		if seen[m.key] {
+			p.fault(object, m.key, "is given twice", "one value", "")
+			continue
+		}
+		seen[m.key] = true
+		p.field(kind, object, value, m)
+	}
+}
+
+func (p *parser) field(kind Kind, object string, value reflect.Value, m member) {
+	for _, f := range kind.Fields {
+		if f.Name != m.key {
+			continue
+		}
+		dst := field(value, f.Name)
+		problem := ""
+		if err := json.Unmarshal(m.value, dst.Addr().Interface()); err != nil || string(m.value) == "null" {
+			problem = fmt.Sprintf("%s is not valid", shorten(m.value))
+		} else if dst.IsZero() && f.Type != TypeBoolean {
+			// A zero would be taken for a field that is left out and get the default.
+			problem = fmt.Sprintf("%s is not valid", shorten(m.value))
+		}
+		if problem != "" {
+			p.fault(object, f.Name, problem, string(f.Type)+", "+f.Bound(), "")
+		}
+		return
+	}
+	names := fieldNames(kind)
+	p.fault(object, m.key, "is not a field of a "+kind.Name, strings.Join(names, ", "), nearest(m.key, names))
+}
+
+func fieldNames(kind Kind) []string {
+	names := make([]string, len(kind.Fields))
+	for i, f := range kind.Fields {
+		names[i] = f.Name
+	}
+	return names
+}
+
+// label names an object in messages: by kind and name, or by its place in the list.
+func label(kind Kind, object reflect.Value, index int) string {
+	if name := field(object, "name").String(); name != "" {
+		return kind.Name + " " + shorten([]byte(name))
+	}
+	return fmt.Sprintf("%s[%d]", kind.List, index)
+}
+
+// shorten cuts a value for a message.
+func shorten(value []byte) string {
+	const limit = 80
+	if len(value) <= limit {
+		return string(value)
+	}
+	return string(value[:limit]) + "..."
+}
+
+// decodeMembers reads one JSON object and keeps the order and repetition of its keys.
+func decodeMembers(data []byte) ([]member, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	start, err := decoder.Token()
+	if err != nil {
+		return nil, err
+	}
+	if start != json.Delim('{') {
+		return nil, errors.New("does not start with {")
+	}
+	var members []member
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return nil, err
+		}
+		var m member
+		m.key, _ = key.(string)
+		if err := decoder.Decode(&m.value); err != nil {
+			return nil, err
+		}
+		members = append(members, m)
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, errors.New("has content after the closing }")
+	}
+	return members, nil
+}
+
+// position returns the line and column of the first syntax error, or "". It
+// reads the data again, because a Decoder does not give the place within one value.
+func position(data []byte) string {
+	var syntax *json.SyntaxError
+	if err := json.Unmarshal(data, &json.RawMessage{}); !errors.As(err, &syntax) || syntax.Offset < 1 || syntax.Offset > int64(len(data)) {
+		return ""
+	}
+	before := data[:syntax.Offset-1]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("line %d, column %d", line, column)
+}
