Add the full decision code for flows

The first dispatcher only forwarded by the table. This adds admission with counts of open flows and running requests, bindings with opener and answer tags, the relay of opener answers and of flow ends through owner and backup, refusals with a hold-off, retries of unanswered openers, the handling of unknown flows, handoff and the decision record.

--- /dev/null
+++ b/internal/coordination/conflict.go
@@ -0,0 +1,62 @@
+package coordination
+
+import (
+	"slices"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+// judgeConflict handles a return packet of a target other than the bound one.
+// Two owners with different views may have sent one opener to two targets.
+func (d *Dispatcher) judgeConflict(c *packetContext) Reason {
+	e, p := &c.entry, &c.in.Packet
+	switch {
+	case isEnd(p.Kind):
+		return ReasonWrongGuess
+	case d.cancelled(c):
+		return ReasonCancelled
+	case e.Has(state.FlagClosed):
+		d.adopt(c)
+		return ""
+	case e.Strength == state.StrengthTentative:
+		return d.conflictOnTentative(c)
+	case e.Has(state.FlagDoubt) && !c.isAnswer():
+		d.adopt(c)
+		return ""
+	}
+	d.note(c, ActionDrop, p.Source, ReasonForeignAnswer)
+	return ReasonForeignAnswer
+}
+
+// conflictOnTentative adopts the other target when it alone has answered or when it sends data.
+func (d *Dispatcher) conflictOnTentative(c *packetContext) Reason {
+	e, p := &c.entry, &c.in.Packet
+	if c.isAnswer() && e.Has(state.FlagAnswered) {
+		return ReasonForeignAnswer
+	}
+	d.note(c, ActionReturn, p.Source, ReasonReturn)
+	d.adopt(c)
+	return ""
+}
+
+// cancelled reports whether the target was given up for this flow and sent a reset.
+func (d *Dispatcher) cancelled(c *packetContext) bool {
+	a, ok := d.serviceState(c.service.Address).attempts[c.flow]
+	return ok && slices.Contains(a.tried, c.in.Packet.Source)
+}
+
+// loser returns the target that is sent a reset along with the decision about a
+// return packet, or a zero endpoint. before is the entry as it was.
+func (c *packetContext) loser(before *state.Entry, r Reason) protocol.Endpoint {
+	source := c.in.Packet.Source
+	switch {
+	case r == ReasonCancelled:
+		return source
+	case r == ReasonForeignAnswer && c.isAnswer() && before.Strength == state.StrengthConfirmed:
+		return source
+	case r == "" && halfOpen(before) && before.Target != c.entry.Target:
+		return before.Target
+	}
+	return protocol.Endpoint{}
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -1,10 +1,11 @@
 package coordination
 
 import (
-	"net/netip"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
@@ -13,6 +14,11 @@
 	defaultHoldOff      = 3 * time.Second
 	defaultIdleTimeout  = 15 * time.Minute
 	defaultFlowCapacity = 1 << 20
+
+	// retryRate and retryBurst bound the openers of a service that are sent to a
+	// second target, so that a failing pool is not loaded with repeated openers.
+	retryRate  = rate.Limit(10) // per second
+	retryBurst = 20
 )
 
 // Dispatcher decides about packets. Its methods may be called concurrently.
@@ -20,14 +26,50 @@
 	mu      sync.Mutex
 	options Options
 
-	table    *state.Table
-	previous *state.Table
-	view     View
-	ring     *ring
-	former   *ring
-	self     netip.AddrPort
+	table *state.Table
+	// history are the present table and those before it, latest first.
+	history []*state.Table
+	// retired holds the addresses that earlier tables had and the present one
+	// has not; established flows keep them.
+	retired map[state.Address]retiredAddress
+
+	ring    *ring
+	members map[string]*Member
+	shards  map[shardKey]*shardState
+	places  map[string]placeState
+	handoff handoffQueue
+
+	flows    *state.FlowTable
+	services map[state.Address]*serviceState
+	reports  map[string]TargetReport
+
+	// holdUntil is the end of the hold-off after a start or a freeze.
+	holdUntil time.Time
+	// frozen is set after a freeze until a view arrives or the hold-off ends.
+	frozen bool
+	record decisionRecord
+}
+
+// serviceState is what this balancer knows about a service beside its flows.
+type serviceState struct {
+	counts  *state.Counts
+	retries *rate.Limiter
+	// attempts are the openers that wait for an answer.
+	attempts map[protocol.FlowKey]*attempt
+}
+
+// attempt is an opener that waits for an answer.
+type attempt struct {
+	deadline time.Time
+	// tried are the targets that were given up; they were sent a reset.
+	tried []protocol.Endpoint
+	// answered attempts are kept for a while to recognise late answers of tried targets.
+	answered bool
+}
 
-	flows *state.FlowTable
+type retiredAddress struct {
+	service *state.Service
+	since   time.Time
 }
 
 var _ Core = (*Dispatcher)(nil)
@@ -47,67 +89,47 @@
 		o.Variant = VariantFull
 	}
 	return &Dispatcher{
-		options: o,
-		flows:   state.NewFlowTable(o.FlowCapacity),
-		ring:    newRing(View{}),
-		former:  newRing(View{}),
+		options:  o,
+		retired:  make(map[state.Address]retiredAddress),
+		ring:     newRing(View{}),
+		members:  make(map[string]*Member),
+		shards:   make(map[shardKey]*shardState),
+		places:   make(map[string]placeState),
+		flows:    state.NewFlowTable(o.FlowCapacity),
+		services: make(map[state.Address]*serviceState),
+		reports:  make(map[string]TargetReport),
 	}
 }
 
-// AdoptTable puts a service table of a higher generation in force.
-func (d *Dispatcher) AdoptTable(_ time.Time, table *state.Table) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.table != nil && table.Generation <= d.table.Generation {
-		return
+func (d *Dispatcher) serviceState(a state.Address) *serviceState {
+	s, ok := d.services[a]
+	if !ok {
+		s = &serviceState{
+			counts:   state.NewCounts(),
+			retries:  rate.NewLimiter(retryRate, retryBurst),
+			attempts: make(map[protocol.FlowKey]*attempt),
+		}
+		d.services[a] = s
 	}
-	d.previous, d.table = d.table, table
+	return s
 }
 
-// SetView replaces the view of the live members.
-func (d *Dispatcher) SetView(_ time.Time, view View) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.former, d.ring = d.ring, newRing(view)
-	d.view = view
-	for _, m := range view.Members {
-		if m.VM == d.options.Self {
-			d.self = m.Data
-		}
+// start begins the hold-off of a balancer that starts.
+func (d *Dispatcher) start(now time.Time) {
+	if d.holdUntil.IsZero() {
+		d.holdUntil = now.Add(d.options.HoldOff)
 	}
 }
 
-// SetReports replaces the reports about targets.
-func (d *Dispatcher) SetReports(time.Time, []TargetReport) {}
-
-// Freeze tells that this balancer was frozen until now.
-func (d *Dispatcher) Freeze(time.Time) {}
-
-// Tick expires flows and pending decisions.
-func (d *Dispatcher) Tick(now time.Time) {
+// Freeze tells that this balancer was frozen until now. It neither admits nor
+// refuses until it has a view, and refuses nothing during the hold-off.
+func (d *Dispatcher) Freeze(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	stamp := state.NewStamp(now)
-	d.flows.Step(8, func(_ protocol.FlowKey, e *state.Entry) bool {
-		return stamp.Since(e.Seen) > d.options.IdleTimeout
-	})
+	d.frozen = true
+	d.holdUntil = now.Add(d.options.HoldOff)
 }
 
-// Handoff returns up to limit bindings that other balancers must learn before this one leaves.
-func (d *Dispatcher) Handoff(time.Time, int) []HandoffBatch { return nil }
-
-// AcceptHandoff stores bindings from a peer and returns how many were new.
-func (d *Dispatcher) AcceptHandoff(time.Time, []state.Binding) int { return 0 }
-
-// Targets reports counts and states of the targets, by name.
-func (d *Dispatcher) Targets(time.Time) []TargetState { return nil }
-
-// ExplainFlow tells owner, backup, target and the reasons of the choice, one fact a line.
-func (d *Dispatcher) ExplainFlow(time.Time, protocol.FlowKey) []string { return nil }
-
-// Decisions returns the bounded record of recent decisions, oldest first.
-func (d *Dispatcher) Decisions() []string { return nil }
-
 // Flows returns the number of flow table entries.
 func (d *Dispatcher) Flows() int {
 	d.mu.Lock()
--- a/internal/coordination/handle.go
+++ b/internal/coordination/handle.go
@@ -17,8 +17,14 @@
 	stamp   state.Stamp
 	in      *Ingress
 	service *state.Service
-	flow    protocol.FlowKey
-	shard   shardKey
+	// gone is set when the configuration has dropped the service.
+	gone  bool
+	flow  protocol.FlowKey
+	shard *shardState
+	entry state.Entry
+	known bool
+	// acting is set when this balancer decides as owner because the sender takes it for the owner.
+	acting bool
 }
 
 // Handle decides about one packet.
@@ -30,14 +36,16 @@
 	}
 	p := &in.Packet
 	c := packetContext{now: now, stamp: state.NewStamp(now), in: &in}
-	if s := d.table.Service(state.Address{Endpoint: p.Destination, Transport: p.Transport}); s != nil {
-		c.service = s
+	destination := state.Address{Endpoint: p.Destination, Transport: p.Transport}
+	if s, gone := d.serviceAt(destination); s != nil {
+		c.service, c.gone = s, gone
 		c.flow = protocol.FlowKey{Caller: p.Source, Service: p.Destination, Transport: p.Transport}
 		return d.fromCaller(&c)
 	}
-	if t := d.table.Target(state.Address{Endpoint: p.Source, Transport: p.Transport}); t != nil {
-		c.service = t.Service
-		c.flow = protocol.FlowKey{Caller: p.Destination, Service: t.Service.Address.Endpoint, Transport: p.Transport}
+	source := state.Address{Endpoint: p.Source, Transport: p.Transport}
+	if s := d.serviceOf(source); s != nil {
+		c.service = s
+		c.flow = protocol.FlowKey{Caller: p.Destination, Service: s.Address.Endpoint, Transport: p.Transport}
 		return d.fromTarget(&c)
 	}
 	return drop(ReasonUnknownAddress)
@@ -45,62 +53,89 @@
 
 func drop(r Reason) Decision { return Decision{Action: ActionDrop, Reason: r} }
 
-func (d *Dispatcher) fromCaller(c *packetContext) Decision {
-	p := &c.in.Packet
-	if p.SynData && !c.service.Idempotent {
-		return drop(ReasonSynData)
-	}
-	c.shard = d.shard(c.service, c.flow)
-	e, known := d.flows.Get(c.flow)
-	opener := isOpener(c.service, p)
-	if known && !opener {
-		e.Seen = c.stamp
-		d.flows.Put(c.flow, e)
-		return d.forward(c, &e, ReasonKnownFlow)
-	}
-	owner := d.ring.at(c.shard, 0)
-	if owner == nil {
-		return drop(ReasonNoMembers)
+func relay(m *Member, r Reason) Decision {
+	return Decision{Action: ActionRelay, Peer: m.Data, Reason: r}
+}
+
+// find looks up shard and entry of the flow. A binding to a target of another service is removed.
+func (d *Dispatcher) find(c *packetContext) {
+	c.shard = d.shardOf(c.service, c.flow)
+	c.entry, c.known = d.flows.Get(c.flow)
+	if c.known && c.entry.Bound() && !d.mayForward(c.service, c.entry.Target) {
+		d.note(c, ActionDrop, c.entry.Target, ReasonForeignTarget)
+		d.remove(c.service, c.flow, &c.entry)
+		c.entry, c.known = state.Entry{}, false
 	}
-	if owner.VM != d.options.Self && c.in.Hops < maxHops {
-		return Decision{Action: ActionRelay, Peer: owner.Data, Reason: ReasonToOwner}
+}
+
+// save stores the entry. It returns false when the table is full.
+func (d *Dispatcher) save(c *packetContext) bool {
+	c.entry.Seen = c.stamp
+	if !d.flows.Put(c.flow, c.entry) {
+		return false
 	}
-	if known {
-		return d.forward(c, &e, ReasonKnownFlow)
+	c.known = true
+	return true
+}
+
+// remove deletes an entry and its counts.
+func (d *Dispatcher) remove(s *state.Service, flow protocol.FlowKey, e *state.Entry) {
+	d.uncount(s, flow, e)
+	d.flows.Delete(flow)
+}
+
+func (d *Dispatcher) count(c *packetContext) {
+	if c.entry.Has(state.FlagCounted) {
+		return
 	}
-	target := c.service.Choice(state.FlowHash(c.flow))
-	if target == nil {
-		return Decision{Action: ActionRefuse, Reason: ReasonNoTarget}
+	c.entry.Set(state.FlagCounted)
+	d.counts(c).Open(c.entry.Target)
+}
+
+func (d *Dispatcher) uncount(s *state.Service, flow protocol.FlowKey, e *state.Entry) {
+	if !e.Has(state.FlagCounted) {
+		return
 	}
-	e = state.Entry{Target: target.Endpoint, Strength: state.StrengthTentative, Created: c.stamp, Seen: c.stamp}
-	d.flows.Put(c.flow, e)
-	return d.forward(c, &e, ReasonAdmitted)
+	e.Clear(state.FlagCounted)
+	d.serviceState(s.Address).counts.Close(flow, e.Target)
+}
+
+func (d *Dispatcher) counts(c *packetContext) *state.Counts {
+	return d.serviceState(c.service.Address).counts
+}
+
+// hidden reports whether the end of a flow of the service cannot be seen.
+func (c *packetContext) hidden() bool { return c.service.Protocol != objects.ProtocolTCP }
+
+// strong reports whether the entry was bound while this balancer was owner or backup.
+func (c *packetContext) strong() bool { return c.known && c.shard.strong(&c.entry) }
+
+// isOwner reports whether this balancer decides about the flow.
+func (c *packetContext) isOwner() bool { return c.acting || c.shard.role == roleOwner }
+
+// mayRelay reports whether the packet may take another relay to a member.
+func (c *packetContext) mayRelay(m *Member) bool {
+	return m != nil && c.in.Hops < maxHops && m.Data != c.in.From
 }
 
-func (d *Dispatcher) forward(c *packetContext, e *state.Entry, r Reason) Decision {
+// forward sends the packet to a target. The check is an invariant: a binding
+// to a target of another service is never used.
+func (d *Dispatcher) forward(c *packetContext, target protocol.Endpoint, r Reason) Decision {
+	if !d.mayForward(c.service, target) {
+		return drop(ReasonForeignTarget)
+	}
 	return Decision{
 		Action:       ActionForward,
-		Endpoint:     e.Target,
+		Endpoint:     target,
 		Reason:       r,
 		StripZeroRTT: c.in.Packet.ZeroRTT && !c.service.Idempotent,
 	}
 }
 
-func (d *Dispatcher) fromTarget(c *packetContext) Decision {
-	e, known := d.flows.Get(c.flow)
-	if !known {
-		e = state.Entry{Created: c.stamp}
-	}
-	e.Target = c.in.Packet.Source
-	e.Seen = c.stamp
-	d.flows.Put(c.flow, e)
-	return Decision{Action: ActionReturn, Endpoint: c.service.Address.Endpoint, Reason: ReasonReturn}
+func isEnd(k protocol.Kind) bool {
+	return k == protocol.KindFin || isAbort(k)
 }
 
-// isOpener reports whether a caller packet may begin a flow.
-func isOpener(s *state.Service, p *protocol.Packet) bool {
-	if s.Protocol == objects.ProtocolUDP {
-		return true
-	}
-	return p.Kind == protocol.KindOpener
+func isAbort(k protocol.Kind) bool {
+	return k == protocol.KindReset || k == protocol.KindUnreachable
 }
--- /dev/null
+++ b/internal/coordination/returns.go
@@ -0,0 +1,327 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+const (
+	// youngTime is how long the return packets of a flow with a hidden end pass
+	// through the owner, which infers from them when the request is done.
+	youngTime = 5 * time.Second
+	// settleTime is how long after a change of owner or backup the flows that a
+	// balancer meets for the first time pass through the owner once.
+	settleTime = 30 * time.Second
+)
+
+// fromTarget decides about a packet of a target. The address of the service
+// follows from the target alone, so any balancer can return it.
+func (d *Dispatcher) fromTarget(c *packetContext) Decision {
+	if d.options.Variant == VariantHash {
+		return d.giveBack(c)
+	}
+	d.find(c)
+	owner := c.shard.owner()
+	if c.shard.role != roleOwner && c.mayRelay(owner) && d.needsOwner(c) {
+		d.learnOnTheWay(c)
+		return relay(owner, ReasonToOwner)
+	}
+	stale := c.shard.role != roleNone && (!c.strong() || c.entry.Epoch != c.shard.epoch)
+	before := c.entry
+	r := d.judge(c)
+	decision := d.passBack(c, r, stale)
+	decision.Cancel = c.loser(&before, r)
+	return decision
+}
+
+// passBack sends a judged return packet through the backup, or to the caller.
+func (d *Dispatcher) passBack(c *packetContext, r Reason, stale bool) Decision {
+	if r != "" {
+		return drop(r)
+	}
+	backup := c.shard.backup()
+	through := c.isAnswer() || isEnd(c.in.Packet.Kind) || stale
+	if c.shard.role == roleOwner && through && d.replicates() && c.mayRelay(backup) {
+		return relay(backup, ReasonToBackup)
+	}
+	return d.giveBack(c)
+}
+
+func (d *Dispatcher) giveBack(c *packetContext) Decision {
+	return Decision{Action: ActionReturn, Endpoint: c.service.Address.Endpoint, Reason: ReasonReturn}
+}
+
+// isAnswer reports whether a packet of a target answers an opener.
+func (c *packetContext) isAnswer() bool {
+	switch c.in.Packet.Kind {
+	case protocol.KindOpenerAnswer:
+		return true
+	case protocol.KindOpener, protocol.KindHandshake:
+		return c.service.Protocol == objects.ProtocolQUIC
+	}
+	return false
+}
+
+// answerTag returns the tag that caller packets will echo.
+func (c *packetContext) answerTag() (uint32, bool) {
+	p := &c.in.Packet
+	if c.service.Protocol == objects.ProtocolQUIC {
+		return p.SourceTag, p.SourceTag != 0
+	}
+	return p.Tag, p.HasTag
+}
+
+// needsOwner reports whether a return packet passes through the owner: opener
+// answers, ends, young flows with a hidden end, and the next packet of a flow
+// after a change of owner or backup.
+func (d *Dispatcher) needsOwner(c *packetContext) bool {
+	if c.isAnswer() || isEnd(c.in.Packet.Kind) {
+		return true
+	}
+	if d.options.Variant == VariantBounded {
+		return false
+	}
+	if !c.known {
+		settling := c.shard.epoch > 0 && c.stamp.Since(c.shard.changedAt) < settleTime
+		return settling || c.hidden()
+	}
+	if c.entry.Epoch != c.shard.epoch {
+		return true
+	}
+	young := c.stamp.Since(c.entry.Created) < youngTime
+	return c.hidden() && young && c.in.Packet.PayloadBytes > 0
+}
+
+// learnOnTheWay learns from a packet that is relayed to the owner. Answers and
+// ends are judged by the owner first.
+func (d *Dispatcher) learnOnTheWay(c *packetContext) {
+	if c.shard.role == roleBackup {
+		d.judge(c)
+		return
+	}
+	if c.isAnswer() || isAbort(c.in.Packet.Kind) {
+		return
+	}
+	if c.in.Packet.Kind == protocol.KindFin {
+		if c.known && c.entry.Target == c.in.Packet.Source {
+			d.markEnd(c, state.FlagTargetFin)
+			d.save(c)
+		}
+		return
+	}
+	d.learnWeak(c)
+}
+
+// learnWeak binds the flow to the target that a balancer without part in the shard sees.
+func (d *Dispatcher) learnWeak(c *packetContext) {
+	if d.options.Variant == VariantNoLearn || d.options.Variant == VariantBounded {
+		return
+	}
+	d.bindWeak(c)
+	d.save(c)
+}
+
+func (d *Dispatcher) bindWeak(c *packetContext) {
+	e := &c.entry
+	if !c.known || e.Target != c.in.Packet.Source {
+		d.uncount(c.service, c.flow, e)
+		c.entry = state.Entry{Target: c.in.Packet.Source, Created: c.stamp}
+	}
+	if e.Has(state.FlagDoubt) {
+		e.Clear(state.FlagDoubt | state.FlagAnswerTag)
+	}
+	if c.in.Packet.PayloadBytes > 0 {
+		e.Set(state.FlagReturned | state.FlagAnswered)
+	}
+	e.Epoch = c.shard.epoch
+}
+
+// judge learns from a return packet that this balancer sends on, and returns a
+// reason when it must be dropped instead.
+func (d *Dispatcher) judge(c *packetContext) Reason {
+	e := &c.entry
+	switch {
+	case c.shard.role == roleNone:
+		return d.judgeWeak(c)
+	case !c.known || !e.Bound():
+		return d.judgeUnbound(c)
+	case e.Target == c.in.Packet.Source:
+		return d.judgeBound(c)
+	case !c.strong():
+		return d.judgeWeak(c)
+	}
+	return d.judgeConflict(c)
+}
+
+// judgeWeak handles a return packet where no strong binding stands against it.
+func (d *Dispatcher) judgeWeak(c *packetContext) Reason {
+	if isEnd(c.in.Packet.Kind) {
+		return d.judgeWeakEnd(c)
+	}
+	if c.shard.role == roleNone {
+		d.learnWeak(c)
+		return ""
+	}
+	d.adopt(c)
+	return ""
+}
+
+func (d *Dispatcher) judgeWeakEnd(c *packetContext) Reason {
+	if !c.known || !c.entry.Bound() {
+		return ""
+	}
+	if c.entry.Target != c.in.Packet.Source {
+		return ReasonWrongGuess
+	}
+	d.markEnd(c, state.FlagTargetFin)
+	d.save(c)
+	return ""
+}
+
+// judgeUnbound handles a return packet of a flow without a target here.
+func (d *Dispatcher) judgeUnbound(c *packetContext) Reason {
+	e := &c.entry
+	if isAbort(c.in.Packet.Kind) {
+		if e.Has(state.FlagAsking) && c.stamp.Since(e.Created) < askTime {
+			return ReasonWrongGuess
+		}
+		return ""
+	}
+	if e.Has(state.FlagRefused) && c.isAnswer() {
+		return ReasonForeignAnswer
+	}
+	d.adopt(c)
+	return ""
+}
+
+// adopt binds the flow to the target of a return packet. An answer makes the
+// binding tentative; payload proves an established connection.
+func (d *Dispatcher) adopt(c *packetContext) {
+	e := &c.entry
+	d.uncount(c.service, c.flow, e)
+	fresh := state.Entry{Target: c.in.Packet.Source, Created: c.stamp, Epoch: c.shard.epoch}
+	fresh.Set(state.FlagAnswered)
+	if c.known && e.Bound() && e.Strength == state.StrengthTentative {
+		fresh.OpenerTag = e.OpenerTag
+		fresh.Set(e.Flags & state.FlagOpenerTag)
+	}
+	c.entry = fresh
+	c.known = true
+	d.count(c)
+	if c.isAnswer() {
+		e.Strength = state.StrengthTentative
+		d.noteAnswer(c)
+		d.counts(c).StartRun(c.now, c.flow, e.Target, c.hidden())
+		d.counts(c).RunAnswered(c.now, c.flow)
+	} else {
+		e.Strength = state.StrengthConfirmed
+		e.Set(state.FlagReturned)
+	}
+	d.save(c)
+}
+
+// noteAnswer takes the tags of an opener answer into the entry.
+func (d *Dispatcher) noteAnswer(c *packetContext) {
+	e, p := &c.entry, &c.in.Packet
+	if tag, ok := c.answerTag(); ok {
+		e.AnswerTag = tag
+		e.Set(state.FlagAnswerTag)
+	}
+	if c.service.Protocol == objects.ProtocolTCP && !e.Has(state.FlagOpenerTag) && p.SourceTag != 0 {
+		e.OpenerTag = p.SourceTag
+		e.Set(state.FlagOpenerTag)
+	}
+	e.Set(state.FlagAnswered)
+	e.Clear(state.FlagFailed | state.FlagReopened | state.FlagDoubt)
+}
+
+// judgeBound handles a return packet of the bound target.
+func (d *Dispatcher) judgeBound(c *packetContext) Reason {
+	e, p := &c.entry, &c.in.Packet
+	switch {
+	case c.isAnswer():
+		d.answered(c)
+	case isAbort(p.Kind):
+		if r := d.resetByTarget(c); r != "" {
+			return r
+		}
+	case p.Kind == protocol.KindFin:
+		d.markEnd(c, state.FlagTargetFin)
+	default:
+		d.returned(c)
+	}
+	if !c.strong() && !isEnd(p.Kind) && !c.isAnswer() {
+		e.Strength = state.StrengthConfirmed
+	}
+	if !e.Has(state.FlagClosed) {
+		e.Epoch = c.shard.epoch
+		d.count(c)
+	}
+	d.save(c)
+	return ""
+}
+
+func (d *Dispatcher) answered(c *packetContext) {
+	e := &c.entry
+	if !c.strong() {
+		e.Strength = state.StrengthTentative
+	}
+	first := !e.Has(state.FlagAnswered)
+	counts := d.counts(c)
+	if first || e.Has(state.FlagReopened) {
+		counts.Load(e.Target).Answered(c.now)
+		counts.RunAnswered(c.now, c.flow)
+	}
+	// A late duplicate of the answer must not set back the tag of an established flow.
+	if e.Strength != state.StrengthConfirmed || e.Has(state.FlagReopened) {
+		d.noteAnswer(c)
+	}
+	if a, ok := d.serviceState(c.service.Address).attempts[c.flow]; ok {
+		a.answered = true
+	}
+}
+
+func (d *Dispatcher) returned(c *packetContext) {
+	e, p := &c.entry, &c.in.Packet
+	if p.PayloadBytes == 0 {
+		return
+	}
+	e.Set(state.FlagReturned | state.FlagAnswered)
+	e.Clear(state.FlagDoubt)
+	if c.service.Protocol != objects.ProtocolQUIC {
+		e.Strength = state.StrengthConfirmed
+	}
+	d.counts(c).RunReturned(c.now, c.flow, p.PayloadBytes)
+}
+
+// resetByTarget handles a reset of the bound target. A reset of an unanswered
+// opener is held back while another target may take the caller's next copy.
+func (d *Dispatcher) resetByTarget(c *packetContext) Reason {
+	e := &c.entry
+	if e.Has(state.FlagDoubt) {
+		return ReasonWrongGuess
+	}
+	if c.strong() && halfOpen(e) && c.shard.role == roleOwner {
+		return d.openerReset(c)
+	}
+	d.markEnd(c, state.FlagTargetFin)
+	return ""
+}
+
+func (d *Dispatcher) openerReset(c *packetContext) Reason {
+	a := d.attempt(c)
+	if !c.entry.Has(state.FlagFailed) {
+		d.fail(c, c.entry.Target)
+	}
+	retries := d.serviceState(c.service.Address).retries
+	if retries.TokensAt(c.now) < 1 || d.choose(c, append(a.tried, c.entry.Target)) == nil {
+		c.entry.Set(state.FlagClosed)
+		d.uncount(c.service, c.flow, &c.entry)
+		return ""
+	}
+	d.save(c)
+	return ReasonOpenerReset
+}
--- a/internal/coordination/ring.go
+++ b/internal/coordination/ring.go
@@ -6,71 +6,69 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
+// rankedMembers is how many members of the rendezvous order of a shard are
+// kept: owner, backup, and those that are asked about unknown flows.
+const rankedMembers = 8
+
 // ring names owner and backup of each shard under one view.
 type ring struct {
 	members []Member
 	hashes  []uint64
-	ranks   map[shardKey][]int
 }
 
+// shardKey names one shard of a service.
 type shardKey struct {
 	service uint64
 	shard   int
 }
 
+// newRing makes the ring of a view. Leaving members own nothing, unless all leave.
 func newRing(view View) *ring {
-	r := &ring{ranks: make(map[shardKey][]int)}
+	r := &ring{}
 	for _, m := range view.Members {
-		if m.Leaving {
-			continue
+		if !m.Leaving {
+			r.members = append(r.members, m)
 		}
-		r.members = append(r.members, m)
+	}
+	if len(r.members) == 0 {
+		r.members = slices.Clone(view.Members)
+	}
+	for _, m := range r.members {
 		r.hashes = append(r.hashes, xxhash.Sum64String(m.VM))
 	}
 	return r
 }
 
-// rank returns the indices of all members in rendezvous order for a shard: owner, backup, others.
-func (r *ring) rank(k shardKey) []int {
-	if order, ok := r.ranks[k]; ok {
-		return order
-	}
-	key := state.Mix(k.service, uint64(k.shard)+1)
-	order := make([]int, len(r.members))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortFunc(order, func(a, b int) int {
-		byScore := cmp.Compare(state.Mix(key, r.hashes[b]), state.Mix(key, r.hashes[a]))
-		if byScore != 0 {
-			return byScore
-		}
-		return cmp.Compare(r.members[a].VM, r.members[b].VM)
-	})
-	r.ranks[k] = order
-	return order
+type ranked struct {
+	score  uint64
+	member *Member
 }
 
-// at returns the member at a position of the rendezvous order, or nil.
-func (r *ring) at(k shardKey, position int) *Member {
-	order := r.rank(k)
-	if position >= len(order) {
-		return nil
+// top returns the first members in rendezvous order for a shard.
+func (r *ring) top(k shardKey) []*Member {
+	key := state.Mix(k.service, uint64(k.shard)+1)
+	best := make([]ranked, 0, rankedMembers+1)
+	for i := range r.members {
+		one := ranked{score: state.Mix(key, r.hashes[i]), member: &r.members[i]}
+		at, _ := slices.BinarySearchFunc(best, one, compareRanked)
+		if at < rankedMembers {
+			best = slices.Insert(best, at, one)
+			best = best[:min(len(best), rankedMembers)]
+		}
 	}
-	return &r.members[order[position]]
-}
-
-func (d *Dispatcher) shard(s *state.Service, flow protocol.FlowKey) shardKey {
-	return shardKey{service: s.Hash, shard: int(state.FlowHash(flow) % uint64(d.shards(s)))}
+	top := make([]*Member, len(best))
+	for i := range best {
+		top[i] = best[i].member
+	}
+	return top
 }
 
-func (d *Dispatcher) shards(s *state.Service) int {
-	if d.options.Shards > 0 {
-		return d.options.Shards
+func compareRanked(a, b ranked) int {
+	if byScore := cmp.Compare(b.score, a.score); byScore != 0 {
+		return byScore
 	}
-	return s.Shards
+	return cmp.Compare(a.member.VM, b.member.VM)
 }
--- /dev/null
+++ b/internal/coordination/unknown.go
@@ -0,0 +1,114 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+const (
+	// askInterval is how long the owner relays the packets of an unknown flow to
+	// one member before it tries the next. It is about a retransmission timeout.
+	askInterval = 200 * time.Millisecond
+	// askTime is how long resets of targets are held back for an unknown flow.
+	askTime = 3 * time.Second
+	// guesses is how many intervals the table's choices are tried after all members were asked.
+	guesses = 2
+)
+
+// unknown decides about a packet within a flow that has no trusted binding
+// here. It goes to the owner, then to a balancer that may know the flow.
+func (d *Dispatcher) unknown(c *packetContext) Decision {
+	if c.gone && !c.known {
+		return drop(ReasonServiceRemoved)
+	}
+	owner := c.shard.owner()
+	if !c.isOwner() && c.mayRelay(owner) {
+		return relay(owner, ReasonToOwner)
+	}
+	if d.options.Variant == VariantBounded {
+		return d.lastResort(c)
+	}
+	if c.in.Hops < maxHops {
+		if m := d.ask(c); m != nil {
+			return relay(m, ReasonToHolder)
+		}
+	}
+	return d.lastResort(c)
+}
+
+// ask returns the next member to ask about the flow, or nil when it is time to
+// use the choice of the table. The owner goes through the members by time, so
+// that the packets of one moment take the same way.
+func (d *Dispatcher) ask(c *packetContext) *Member {
+	others := d.others(c.shard, c.in.From)
+	if len(others) == 0 {
+		return nil
+	}
+	if !c.isOwner() {
+		return others[0]
+	}
+	if !c.known {
+		c.entry = state.Entry{Flags: state.FlagAsking, Created: c.stamp}
+		d.save(c)
+	}
+	if !c.entry.Has(state.FlagAsking) {
+		return others[0]
+	}
+	turn := c.asked() % (len(others) + guesses)
+	if turn >= len(others) {
+		return nil
+	}
+	return others[turn]
+}
+
+// asked returns how many intervals ago the search for the holder of the flow began.
+func (c *packetContext) asked() int {
+	return int(c.stamp.Since(c.entry.Created) / askInterval)
+}
+
+// lastResort uses a doubtful binding, or else the choices of the present table
+// and of earlier ones in turn. A wrong guess reaches a target without the
+// connection; its reset is held back.
+func (d *Dispatcher) lastResort(c *packetContext) Decision {
+	if c.known && c.entry.Bound() {
+		if c.strong() && c.entry.Strength == state.StrengthTentative {
+			return drop(ReasonContradicted)
+		}
+		return d.forward(c, c.entry.Target, ReasonUncertain)
+	}
+	choices := d.tableChoices(c.service, c.flow)
+	if c.service.Protocol == objects.ProtocolUDP || len(choices) == 0 {
+		return drop(ReasonUnknownFlow)
+	}
+	turn := int(c.stamp) / int(askInterval.Milliseconds())
+	if c.known {
+		turn = c.asked()
+	}
+	turn %= len(choices)
+	if turn == 0 {
+		return d.forward(c, choices[0], ReasonTableChoice)
+	}
+	return d.forward(c, choices[turn], ReasonPreviousChoice)
+}
+
+// tableChoices returns the targets that the tables name for a flow, latest table first.
+func (d *Dispatcher) tableChoices(service *state.Service, flow protocol.FlowKey) []protocol.Endpoint {
+	hash := state.FlowHash(flow)
+	var choices []protocol.Endpoint
+	for _, table := range d.history {
+		s := table.Service(service.Address)
+		if s == nil {
+			continue
+		}
+		t := s.Choice(hash)
+		if t == nil || !d.mayForward(service, t.Endpoint) || slices.Contains(choices, t.Endpoint) {
+			continue
+		}
+		choices = append(choices, t.Endpoint)
+	}
+	return choices
+}
--- a/internal/protocol/packet.go
+++ b/internal/protocol/packet.go
@@ -100,7 +100,8 @@
 	// HasTag reports whether Tag could be read.
 	HasTag bool
 	// SourceTag is the first four bytes of the source connection id of a QUIC
-	// long-header packet, or 0.
+	// long-header packet, the acknowledged initial sequence number of a TCP
+	// SYN-ACK (acknowledgement number minus one), or 0.
 	SourceTag uint32
 
 	// SynData reports payload on a TCP SYN.
--- a/internal/state/flows.go
+++ b/internal/state/flows.go
@@ -8,9 +8,9 @@
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 )
 
-// flowShards is the number of maps of a flow table. Expiry visits one map at a
+// flowMaps is the number of maps of a flow table. Expiry visits one map at a
 // time, so that a step costs the same at any table size.
-const flowShards = 256
+const flowMaps = 256
 
 // Stamp is a point in time in milliseconds, modulo 2^32 (49 days).
 type Stamp uint32
@@ -23,47 +23,75 @@
 	return time.Duration(max(int32(s-earlier), 0)) * time.Millisecond
 }
 
+// Add returns the stamp d later.
+func (s Stamp) Add(d time.Duration) Stamp { return s + Stamp(d.Milliseconds()) }
+
 // Flags are properties of a flow table entry.
-type Flags uint8
+type Flags uint16
 
 // Flags of an entry.
 const (
+	// FlagOpenerTag marks that OpenerTag is known.
+	FlagOpenerTag Flags = 1 << iota
+	// FlagAnswerTag marks that AnswerTag is known.
+	FlagAnswerTag
 	// FlagAnswered marks that the target answered the opener.
-	FlagAnswered Flags = 1 << iota
-	// FlagCounted marks an entry that its owner counts for the target.
+	FlagAnswered
+	// FlagReturned marks that the target sent payload.
+	FlagReturned
+	// FlagCounted marks an entry that is counted for its target.
 	FlagCounted
-	// FlagGuess marks a target that was taken from the table for an unknown flow.
-	FlagGuess
+	// FlagCallerFin marks a FIN of the caller.
+	FlagCallerFin
+	// FlagTargetFin marks a FIN of the target.
+	FlagTargetFin
 	// FlagClosed marks a flow that ended; the entry stays to recognise late duplicates.
 	FlagClosed
-	// FlagReturned marks that the target sent payload.
-	FlagReturned
-	// FlagSecondGuess marks a guess that was taken from the previous table.
-	FlagSecondGuess
 	// FlagRefused marks an opener that was refused; no target is bound.
 	FlagRefused
-	// FlagSynced marks a flow that passed through the present owner.
-	FlagSynced
+	// FlagAsking marks an unknown flow whose holder is searched; no target is bound.
+	FlagAsking
+	// FlagDoubt marks a binding that a caller packet contradicted.
+	FlagDoubt
+	// FlagReopened marks that another opener was forwarded on an established flow.
+	FlagReopened
+	// FlagFailed marks an opener that its target reset or left unanswered.
+	FlagFailed
 )
 
+// FlagsTagged are the flags of a connection that a new connection on the same flow clears.
+const FlagsTagged = FlagOpenerTag | FlagAnswerTag | FlagAnswered | FlagReturned | FlagCallerFin |
+	FlagTargetFin | FlagClosed | FlagRefused | FlagAsking | FlagDoubt | FlagReopened | FlagFailed
+
 // Entry is what a flow table holds about one flow. It has no pointers, so
 // that the garbage collector does not scan the table.
 type Entry struct {
 	Target    protocol.Endpoint
-	Strength  Strength
 	Flags     Flags
 	OpenerTag uint32
 	AnswerTag uint32
 	Created   Stamp
 	Seen      Stamp
+	// Epoch is the ownership epoch of the shard in which the flow last passed owner and backup.
+	Epoch    uint16
+	Strength Strength
 }
 
-// Has reports whether all flags f are set.
-func (e *Entry) Has(f Flags) bool { return e.Flags&f == f }
+// Has reports whether any of the flags f is set.
+func (e *Entry) Has(f Flags) bool { return e.Flags&f != 0 }
+
+// Set sets flags.
+func (e *Entry) Set(f Flags) { e.Flags |= f }
+
+// Clear clears flags.
+func (e *Entry) Clear(f Flags) { e.Flags &^= f }
+
+// Bound reports whether the entry names a target.
+func (e *Entry) Bound() bool { return !e.Target.IsZero() }
 
 // FlowTable maps flows to entries. It is not safe for concurrent use.
 type FlowTable struct {
-	shards   [flowShards]map[protocol.FlowKey]Entry
+	maps     [flowMaps]map[protocol.FlowKey]Entry
 	size     int
 	capacity int
 	cursor   int
@@ -72,28 +100,28 @@
 // NewFlowTable makes a table with at most capacity entries.
 func NewFlowTable(capacity int) *FlowTable {
 	t := &FlowTable{capacity: capacity}
-	for i := range t.shards {
-		t.shards[i] = make(map[protocol.FlowKey]Entry)
+	for i := range t.maps {
+		t.maps[i] = make(map[protocol.FlowKey]Entry)
 	}
 	return t
 }
 
-func shardOf(k *protocol.FlowKey) int {
+func mapOf(k *protocol.FlowKey) int {
 	ip := binary.BigEndian.Uint32(k.Caller.IP[:])
 	h := uint64(ip)<<16 | uint64(k.Caller.Port)
 	h = (h ^ uint64(k.Service.Port)<<48) * 0x9e3779b97f4a7c15
-	return int(bits.RotateLeft64(h, 8) & (flowShards - 1))
+	return int(bits.RotateLeft64(h, 8) & (flowMaps - 1))
 }
 
 // Get returns the entry of a flow.
 func (t *FlowTable) Get(k protocol.FlowKey) (Entry, bool) {
-	e, ok := t.shards[shardOf(&k)][k]
+	e, ok := t.maps[mapOf(&k)][k]
 	return e, ok
 }
 
 // Put stores an entry. It returns false when the table is full.
 func (t *FlowTable) Put(k protocol.FlowKey, e Entry) bool {
-	m := t.shards[shardOf(&k)]
+	m := t.maps[mapOf(&k)]
 	before := len(m)
 	if t.size >= t.capacity {
 		if _, known := m[k]; !known {
@@ -107,7 +135,7 @@
 
 // Delete removes the entry of a flow.
 func (t *FlowTable) Delete(k protocol.FlowKey) {
-	m := t.shards[shardOf(&k)]
+	m := t.maps[mapOf(&k)]
 	before := len(m)
 	delete(m, k)
 	t.size += len(m) - before
@@ -116,11 +144,11 @@
 // Len returns the number of entries.
 func (t *FlowTable) Len() int { return t.size }
 
-// Step visits the entries of the next maps, at most n of them, and removes those for which remove is true.
+// Step visits the entries of the next n maps and removes those for which remove is true.
 func (t *FlowTable) Step(n int, remove func(protocol.FlowKey, *Entry) bool) {
-	for range min(n, flowShards) {
-		m := t.shards[t.cursor]
-		t.cursor = (t.cursor + 1) % flowShards
+	for range min(n, flowMaps) {
+		m := t.maps[t.cursor]
+		t.cursor = (t.cursor + 1) % flowMaps
 		for k, e := range m {
 			if remove(k, &e) {
 				delete(m, k)
@@ -130,11 +158,23 @@
 	}
 }
 
-// Each visits all entries in no particular order.
-func (t *FlowTable) Each(f func(protocol.FlowKey, *Entry)) {
-	for _, m := range t.shards {
+// VisitMap visits the entries of one of the maps. It returns false when there is no map i.
+func (t *FlowTable) VisitMap(i int, visit func(protocol.FlowKey, *Entry)) bool {
+	if i >= flowMaps {
+		return false
+	}
+	for k, e := range t.maps[i] {
+		visit(k, &e)
+	}
+	return true
+}
+
+// Update visits all entries and stores what visit changes.
+func (t *FlowTable) Update(visit func(protocol.FlowKey, *Entry)) {
+	for _, m := range t.maps {
 		for k, e := range m {
-			f(k, &e)
+			visit(k, &e)
+			m[k] = e
 		}
 	}
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -21,6 +21,17 @@
 	StrengthConfirmed
 )
 
+// String returns the name of a strength.
+func (s Strength) String() string {
+	switch s {
+	case StrengthTentative:
+		return "tentative"
+	case StrengthConfirmed:
+		return "confirmed"
+	}
+	return "weak"
+}
+
 // Binding is the transferable form of one flow table entry.
 type Binding struct {
 	Flow      protocol.FlowKey
