Add publishing with history, rollback and refusal of address reuse

Its id follows from content and base generation, so a repeated command finds an earlier run whose answer was lost. Conflict and failed are reported only when the publish can no longer take effect; the rest is unknown.

A command without a base generation refuses content that resembles an earlier generation more than the one in force. A property test found the need: after a failed run, the repeated command took another operator's accepted change back.

--- a/internal/objects/head.go
+++ b/internal/objects/head.go
@@ -15,6 +15,11 @@
 	UnixSeconds int64 `json:"unix_seconds"`
 }
 
+// Head returns a head that names the snapshot of the publication and lists nothing else.
+func (p Publication) Head() Head {
+	return Head{Generation: p.Generation, Digest: p.Digest, Parts: p.Parts}
+}
+
 // RetiredAddress is a target address that a generation removed from a service.
 // It may not serve another service while a balancer could still hold the earlier generation.
 type RetiredAddress struct {
--- /dev/null
+++ b/internal/publish/fleet.go
@@ -0,0 +1,86 @@
+package publish
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+// StalenessBound is how long a balancer that left the VM list may still forward
+// by an old configuration. It covers the lag of the VM list and of the fabric.
+const StalenessBound = 60 * time.Second
+
+// Member is one balancer as another balancer reports it.
+type Member struct {
+	VM string
+	// Live is set for members that are alive, suspected or leaving.
+	Live bool
+	// Generation is the highest generation that the member acknowledged.
+	Generation uint64
+	// HeardAgo is the time since the member was last heard of.
+	HeardAgo time.Duration
+}
+
+// Fleet is what one balancer and the VM list tell about the balancers.
+type Fleet struct {
+	// Known is set when both the balancer and the VM list answered.
+	Known   bool
+	Members []Member
+	VMs     []platform.VM
+}
+
+// Highest returns the highest generation that a member acknowledged.
+func (f Fleet) Highest() uint64 {
+	var highest uint64
+	for _, m := range f.Members {
+		highest = max(highest, m.Generation)
+	}
+	return highest
+}
+
+// behind tells in words which balancers may still use the configuration before
+// a generation, and how long to wait for those that are gone.
+func (f Fleet) behind(generation uint64) []string {
+	if !f.Known {
+		return []string{"no balancer and VM list answered, so it is not known which balancers still use the old configuration; repeat when --balancer and the platform answer"}
+	}
+	listed := map[string]bool{}
+	for _, vm := range f.VMs {
+		listed[vm.Name] = true
+	}
+	var reasons []string
+	for _, m := range f.Members {
+		if m.Generation < generation {
+			reasons = append(reasons, m.reason(generation, listed[m.VM])...)
+		}
+		delete(listed, m.VM)
+	}
+	for vm := range listed {
+		reasons = append(reasons, fmt.Sprintf("balancer %s is on the VM list but unknown to the fleet; wait until it reports generation %d or leaves the VM list", vm, generation))
+	}
+	sort.Strings(reasons)
+	return reasons
+}
+
+func (m Member) reason(generation uint64, listed bool) []string {
+	switch {
+	case m.Live:
+		return []string{fmt.Sprintf("balancer %s has generation %d in force; wait until it reports %d, normally within 5 s", m.VM, m.Generation, generation)}
+	case listed:
+		return []string{fmt.Sprintf("balancer %s is not reachable with generation %d and still on the VM list; wait until it comes back or leaves the VM list, and then %s", m.VM, m.Generation, StalenessBound)}
+	case m.HeardAgo < StalenessBound:
+		return []string{fmt.Sprintf("balancer %s left with generation %d; wait %s more", m.VM, m.Generation, (StalenessBound - m.HeardAgo).Round(time.Second))}
+	}
+	return nil
+}
+
+// joinSome joins the first lines and counts the rest, so that a message about 800 balancers stays readable.
+func joinSome(lines []string, most int) string {
+	if len(lines) <= most {
+		return strings.Join(lines, "; ")
+	}
+	return fmt.Sprintf("%s; and %d more", strings.Join(lines[:most], "; "), len(lines)-most)
+}
--- /dev/null
+++ b/internal/publish/plan.go
@@ -0,0 +1,268 @@
+package publish
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+)
+
+// Request is a configuration that an operator wants in force.
+type Request struct {
+	// Set is a checked configuration.
+	Set objects.Set
+	// Base, unless nil, is the generation that the operator wants to replace.
+	// Without it the head in force is replaced.
+	Base *uint64
+	// Prefix starts the summary in the history.
+	Prefix string
+}
+
+// Plan is a publish that was compared with the head and not written yet.
+type Plan struct {
+	// ID identifies the publish. It follows from content and base generation,
+	// so the same command has the same id when it is repeated.
+	ID string
+	// Base is the generation that the plan replaces.
+	Base uint64
+	// Next is the generation that the plan gets.
+	Next uint64
+	// Changes and Warnings are in words, for the operator.
+	Changes  []string
+	Warnings []string
+	// Settled is set when nothing is left to write.
+	Settled *Result
+
+	canonical []byte
+	digest    string
+	head      objects.Head
+	revision  uint64
+	before    objects.Set
+	after     objects.Set
+	prefix    string
+	retired   []objects.RetiredAddress
+}
+
+// ID derives the publish id from content and base generation.
+func ID(digest string, base uint64) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d", digest, base))
+	return hex.EncodeToString(sum[:16])
+}
+
+// Plan reads the head and compares it with the request. An error means that the
+// platform could not be read; nothing was written then.
+func (p *Publisher) Plan(ctx context.Context, request Request, fleet Fleet) (Plan, error) {
+	head, revision, err := ReadHead(ctx, p.Store)
+	if err != nil {
+		return Plan{}, err
+	}
+	plan := Plan{
+		Base:      head.Generation,
+		canonical: objects.Canonical(request.Set),
+		head:      head,
+		revision:  revision,
+		after:     objects.WithDefaults(request.Set),
+		prefix:    request.Prefix,
+	}
+	plan.digest = objects.Digest(plan.canonical)
+	if request.Base != nil {
+		plan.Base = *request.Base
+	}
+	plan.ID = ID(plan.digest, plan.Base)
+	if plan.Settled = p.settled(ctx, plan, request.Base != nil); plan.Settled != nil {
+		return plan, nil
+	}
+	if plan.before, err = loadOrEmpty(ctx, p, head); err != nil {
+		return Plan{}, err
+	}
+	plan.compare(fleet)
+	if request.Base == nil && plan.Settled == nil {
+		plan.Settled, err = p.stale(ctx, plan)
+	}
+	return plan, err
+}
+
+// settled returns the result of a request that has nothing left to write: it
+// was accepted before, or another publish came in between.
+func (p *Publisher) settled(ctx context.Context, plan Plan, based bool) *Result {
+	if based {
+		if r := p.judge(ctx, plan, plan.head); r != nil {
+			r.Repeated = r.Outcome == OutcomeAccepted
+			return r
+		}
+		if plan.Base != plan.head.Generation {
+			return unknown("the platform shows generation %d, older than generation %d that was to be replaced; it lost a head or shows an old one", plan.head.Generation, plan.Base)
+		}
+	}
+	for i, publication := range plan.head.Recent {
+		if publication.Digest != plan.digest {
+			continue
+		}
+		if i == 0 {
+			return accepted(publication, true)
+		}
+		if based {
+			return nil // the operator named the generation to replace
+		}
+		return p.replaced(ctx, plan, publication)
+	}
+	return nil
+}
+
+// replaced is the conflict of content that was in force before and has been
+// replaced since. Publishing it again would take back the changes made since.
+func (p *Publisher) replaced(ctx context.Context, plan Plan, publication objects.Publication) *Result {
+	r := &Result{Outcome: OutcomeConflict, Generation: plan.head.Generation}
+	r.Reasons = []string{fmt.Sprintf("this configuration was accepted as generation %d and has been replaced since; to take the later changes back, run rollback %d --base %d",
+		publication.Generation, publication.Generation, plan.head.Generation)}
+	r.Others = p.changesBetween(ctx, publication, plan.head)
+	return r
+}
+
+// maxCompared is the number of earlier snapshots that a publish without a base
+// is compared with. Each takes up to MaxParts reads.
+const maxCompared = 8
+
+// stale returns a conflict when the configuration resembles an earlier
+// generation more than the one in force. Its files were then made from that
+// generation, and publishing them would take back what was accepted since.
+func (p *Publisher) stale(ctx context.Context, plan Plan) (*Result, error) {
+	distance := len(plan.Changes)
+	for i := 1; i <= maxCompared && i <= len(plan.head.Recent); i++ {
+		var earlier objects.Publication // the empty configuration, before the first publish
+		if i < len(plan.head.Recent) {
+			earlier = plan.head.Recent[i]
+		} else if len(plan.head.Recent) == MaxRecent {
+			return nil, nil
+		}
+		set, err := loadOrEmpty(ctx, p, earlier.Head())
+		if err != nil {
+			return nil, err
+		}
+		if len(objects.Changes(set, plan.after)) >= distance {
+			continue
+		}
+		r := &Result{Outcome: OutcomeConflict, Generation: plan.head.Generation, Others: objects.Changes(set, plan.before)}
+		r.Reasons = []string{fmt.Sprintf("this configuration resembles generation %d more than generation %d in force and would take back changes made since; add them to the files, or repeat with --base %d to take them back",
+			earlier.Generation, plan.head.Generation, plan.head.Generation)}
+		return r, nil
+	}
+	return nil, nil
+}
+
+// judge tells from a head what became of a plan; nil means that it may still be written.
+func (p *Publisher) judge(ctx context.Context, plan Plan, head objects.Head) *Result {
+	for _, publication := range head.Recent {
+		if publication.PublishID == plan.ID {
+			return accepted(publication, false)
+		}
+	}
+	if head.Generation <= plan.Base {
+		return nil
+	}
+	base, listed := head.Find(plan.Base)
+	if !listed && (plan.Base != 0 || len(head.Recent) >= MaxRecent) {
+		return unknown("generation %d is too old to tell; the head lists %d publishes up to generation %d", plan.Base, len(head.Recent), head.Generation)
+	}
+	return &Result{
+		Outcome:    OutcomeConflict,
+		Generation: head.Generation,
+		Reasons:    []string{fmt.Sprintf("generation %d was published meanwhile; this configuration was not accepted", head.Generation)},
+		Others:     p.changesBetween(ctx, base, head),
+	}
+}
+
+// changesBetween tells what changed from a publication to a head. Where a
+// snapshot cannot be read, the summaries of the publishes stand in.
+func (p *Publisher) changesBetween(ctx context.Context, from objects.Publication, head objects.Head) []string {
+	before, errBefore := loadOrEmpty(ctx, p, from.Head())
+	after, errAfter := loadOrEmpty(ctx, p, head)
+	if errBefore == nil && errAfter == nil {
+		return objects.Changes(before, after)
+	}
+	var summaries []string
+	for _, publication := range head.Recent {
+		if publication.Generation > from.Generation {
+			summaries = append(summaries, publication.Summary)
+		}
+	}
+	return summaries
+}
+
+// loadOrEmpty loads the snapshot of a head; generation 0 is the empty set.
+func loadOrEmpty(ctx context.Context, p *Publisher, head objects.Head) (objects.Set, error) {
+	if head.Generation == 0 {
+		return objects.Set{}, nil
+	}
+	return Load(ctx, p.Store, head)
+}
+
+// compare fills in what the operator is shown and refuses address reuse.
+func (plan *Plan) compare(fleet Fleet) {
+	plan.Next = max(plan.head.Generation, fleet.Highest()) + 1
+	plan.Changes = objects.Changes(plan.before, plan.after)
+	plan.Warnings = append(objects.ChangeWarnings(plan.before, plan.after), objects.Warnings(plan.after)...)
+	if fleet.Highest() > plan.head.Generation {
+		plan.Warnings = append(plan.Warnings, fmt.Sprintf("the platform shows generation %d, the fleet holds %d: the platform lost a head or shows an old one; the differences are against generation %d",
+			plan.head.Generation, fleet.Highest(), plan.head.Generation))
+	}
+	if size := len(plan.canonical); size > MaxParts*PartBytes {
+		plan.Settled = failed("the configuration has %d bytes; at most %d fit", size, MaxParts*PartBytes)
+		return
+	}
+	plan.retired = retire(plan.head.Retired, plan.before, plan.after, plan.Next, fleet)
+	if refusals := reuse(plan.head.Retired, plan.before, plan.after, fleet); len(refusals) > 0 {
+		plan.Settled = &Result{Outcome: OutcomeFailed, Reasons: refusals}
+	}
+	if len(plan.retired) > MaxRetired {
+		plan.Settled = failed("%d removed target addresses still wait for balancers; at most %d are remembered. Bring the cut-off balancers back or take them from the VM list", len(plan.retired), MaxRetired)
+	}
+}
+
+// summary describes the changes in the history, in at most summaryBytes.
+func (plan Plan) summary() string {
+	text := plan.prefix
+	for i, change := range plan.Changes {
+		if len(text)+len(change) > summaryBytes {
+			return text + fmt.Sprintf("and %d more", len(plan.Changes)-i)
+		}
+		text += change + "; "
+	}
+	return strings.TrimSuffix(text, "; ")
+}
+
+// PlanRollback plans to publish an earlier generation again.
+func (p *Publisher) PlanRollback(ctx context.Context, generation uint64, base *uint64, fleet Fleet) (Plan, error) {
+	head, _, err := ReadHead(ctx, p.Store)
+	if err != nil {
+		return Plan{}, err
+	}
+	publication, listed := head.Find(generation)
+	if !listed {
+		return Plan{Settled: failed("generation %d is not in the history; kumquatworks history lists what is", generation)}, nil
+	}
+	set, err := Load(ctx, p.Store, publication.Head())
+	if err != nil {
+		return Plan{}, errors.Wrapf(err, "generation %d", generation)
+	}
+	if base == nil && !rolledBackBefore(head, publication) {
+		base = &head.Generation
+	}
+	prefix := fmt.Sprintf("rollback to generation %d: ", generation)
+	return p.Plan(ctx, Request{Set: set, Base: base, Prefix: prefix}, fleet)
+}
+
+// rolledBackBefore reports whether the content of a publication was published again later.
+func rolledBackBefore(head objects.Head, publication objects.Publication) bool {
+	for _, other := range head.Recent {
+		if other.Digest == publication.Digest && other.Generation > publication.Generation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/publish/publish_test.go
@@ -0,0 +1,331 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+var ctx = context.Background()
+
+// twoServices returns services a and b, each with one pool, and the given targets
+// as "pool:last byte of the address".
+func twoServices(targets ...string) objects.Set {
+	set := objects.Set{Places: []objects.Place{{Name: "here"}}}
+	for i, name := range []string{"a", "b"} {
+		set.Services = append(set.Services, objects.Service{Name: name, Address: netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), Port: 80, Protocol: objects.ProtocolTCP, Pool: name})
+		set.Pools = append(set.Pools, objects.Pool{Name: name, Slots: 1, Connections: 1})
+	}
+	for _, t := range targets {
+		pool, last, _ := strings.Cut(t, ":")
+		address := netip.MustParseAddr("10.2.0." + last)
+		set.Targets = append(set.Targets, objects.Target{Name: "t" + last, Pool: pool, Place: "here", Address: address, Port: 80})
+	}
+	return set
+}
+
+func publish(t *testing.T, p *Publisher, set objects.Set, fleet Fleet) Result {
+	t.Helper()
+	plan, err := p.Plan(ctx, Request{Set: set}, fleet)
+	assert.NilError(t, err)
+	return p.Commit(ctx, plan)
+}
+
+func readHead(t assert.TestingT, store platform.Store) objects.Head {
+	head, _, err := ReadHead(ctx, store)
+	assert.NilError(t, err)
+	return head
+}
+
+// Guards against a publish that takes effect twice or is misreported when one
+// call, at any position of the sequence, goes wrong in any way, and the
+// operator then repeats the same command.
+func TestFaultAtEachPosition(t *testing.T) {
+	for kind := faultRefuse; kind < faultKinds; kind++ {
+		for position := range 6 {
+			store := newFakeStore()
+			p := newTestPublisher(store)
+			assert.Equal(t, publish(t, p, twoServices("a:1"), Fleet{}).Outcome, OutcomeAccepted)
+			calls := 0
+			store.next = func() fault {
+				calls++
+				if calls-1 == position {
+					return kind
+				}
+				return faultNone
+			}
+			name := fmt.Sprintf("fault %d at %d", kind, position)
+			first := OutcomeFailed
+			if plan, err := p.Plan(ctx, Request{Set: twoServices("a:1", "a:2")}, Fleet{}); err == nil {
+				first = p.Commit(ctx, plan).Outcome
+			}
+			assert.Equal(t, first == OutcomeAccepted, len(store.heads) == 2, name)
+			store.next = func() fault { return faultNone }
+			assert.Equal(t, publish(t, p, twoServices("a:1", "a:2"), Fleet{}).Outcome, OutcomeAccepted, name)
+			assert.Equal(t, len(store.heads), 2, name)
+		}
+	}
+}
+
+// Guards against an operator who is not told what another operator changed.
+func TestConflictShowsOtherChange(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	assert.Equal(t, publish(t, p, twoServices("a:1", "a:2"), Fleet{}).Outcome, OutcomeAccepted)
+	mine, err := p.Plan(ctx, Request{Set: twoServices("a:1", "a:2", "a:3")}, Fleet{})
+	assert.NilError(t, err)
+	drained := twoServices("a:1", "a:2")
+	drained.Targets[1].Drain = true
+	assert.Equal(t, publish(t, p, drained, Fleet{}).Outcome, OutcomeAccepted)
+	r := p.Commit(ctx, mine)
+	assert.Equal(t, r.Outcome, OutcomeConflict)
+	assert.Equal(t, r.Generation, uint64(2))
+	assert.DeepEqual(t, r.Others, []string{"a: target t2 drains"})
+}
+
+// Guards against a repeated command that takes back what another operator
+// published after it, and against a lost publish that a named base cannot find.
+func TestRepeatAfterOtherPublish(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	set := twoServices("a:1")
+	assert.Equal(t, publish(t, p, set, Fleet{}).Outcome, OutcomeAccepted)
+	assert.Equal(t, publish(t, p, twoServices("a:1", "b:2"), Fleet{}).Outcome, OutcomeAccepted)
+	r := publish(t, p, set, Fleet{})
+	assert.Equal(t, r.Outcome, OutcomeConflict)
+	assert.DeepEqual(t, r.Others, []string{"b: target t2 added at 10.2.0.2:80 in here"})
+	var base uint64
+	plan, err := p.Plan(ctx, Request{Set: set, Base: &base}, Fleet{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *plan.Settled, Result{Outcome: OutcomeAccepted, Generation: 1, Repeated: true})
+	assert.Equal(t, readHead(t, store).Generation, uint64(2))
+}
+
+// Guards against a verdict about a publish that the bounded history no longer lists,
+// and against one from a head that is older than the base.
+func TestHistoryTooShortIsUnknown(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	for i := range MaxRecent + 2 {
+		assert.Equal(t, publish(t, p, twoServices("a:1", fmt.Sprintf("b:%d", i+2)), Fleet{}).Outcome, OutcomeAccepted)
+	}
+	assert.Equal(t, len(readHead(t, store).Recent), MaxRecent)
+	for _, base := range []uint64{0, 1, MaxRecent + 3} {
+		plan, err := p.Plan(ctx, Request{Set: twoServices("a:200"), Base: &base}, Fleet{})
+		assert.NilError(t, err)
+		assert.Equal(t, plan.Settled.Outcome, OutcomeUnknown, "base %d", base)
+	}
+}
+
+// Guards against a rollback that changes an earlier generation, or that a
+// repeated command does again over another operator's publish.
+func TestRollback(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	publish(t, p, twoServices("a:1"), Fleet{})
+	publish(t, p, twoServices("a:1", "a:2"), Fleet{})
+	rollback := func() Result {
+		plan, err := p.PlanRollback(ctx, 1, nil, Fleet{})
+		assert.NilError(t, err)
+		return p.Commit(ctx, plan)
+	}
+	assert.DeepEqual(t, rollback(), Result{Outcome: OutcomeAccepted, Generation: 3})
+	assert.DeepEqual(t, rollback(), Result{Outcome: OutcomeAccepted, Generation: 3, Repeated: true})
+	head := readHead(t, store)
+	assert.Equal(t, head.Recent[0].Summary, "rollback to generation 1: a: target t2 removed")
+	assert.Equal(t, head.Recent[0].Digest, head.Recent[2].Digest)
+	publish(t, p, twoServices("a:1", "a:3"), Fleet{})
+	assert.Equal(t, rollback().Outcome, OutcomeConflict)
+	assert.Equal(t, readHead(t, store).Generation, uint64(4))
+}
+
+// Guards against a snapshot that cannot be written in values of the allowed size,
+// and against one that is accepted although a part is damaged.
+func TestLargeSnapshotInParts(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	set := twoServices()
+	for i := range 16000 {
+		address := netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)})
+		set.Targets = append(set.Targets, objects.Target{Name: fmt.Sprintf("target-%05d", i), Pool: "a", Place: "here", Address: address, Port: 80})
+	}
+	assert.Equal(t, publish(t, p, set, Fleet{}).Outcome, OutcomeAccepted)
+	head := readHead(t, store)
+	assert.Assert(t, head.Parts > 1)
+	got, err := Load(ctx, store, head)
+	assert.NilError(t, err)
+	assert.Equal(t, len(objects.Changes(set, got)), 0)
+	key := PartKey(head.Digest, 1)
+	damaged := store.records[key]
+	damaged.Value = append([]byte{' '}, damaged.Value...)
+	store.records[key] = damaged
+	_, err = Load(ctx, store, head)
+	assert.ErrorContains(t, err, "content has digest")
+}
+
+// Guards against a generation at or below the one in force, which no balancer
+// would adopt, after the platform lost its records.
+func TestPublishAfterPlatformLoss(t *testing.T) {
+	p := newTestPublisher(newFakeStore())
+	fleet := Fleet{Known: true, Members: []Member{{VM: "m", Live: true, Generation: 41}}}
+	plan, err := p.Plan(ctx, Request{Set: twoServices("a:1")}, fleet)
+	assert.NilError(t, err)
+	assert.Assert(t, cmp.Contains(strings.Join(plan.Warnings, "\n"), "the fleet holds 41"))
+	assert.Equal(t, p.Commit(ctx, plan).Generation, uint64(42))
+}
+
+// Guards against a target address that serves a new service while a balancer
+// may still send packets of the former service to it.
+func TestAddressReuse(t *testing.T) {
+	const bound = StalenessBound
+	vm := func(names ...string) (vms []platform.VM) {
+		for _, n := range names {
+			vms = append(vms, platform.VM{Name: n})
+		}
+		return vms
+	}
+	cases := []struct {
+		name    string
+		fleet   Fleet
+		refusal string // empty: accepted
+	}{
+		{"fleet not known", Fleet{}, "not known which balancers"},
+		{"live balancer behind", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", true, 1, 0}}, vm("m1", "m2")}, "balancer m2 has generation 1 in force; wait"},
+		{"dead balancer on the VM list", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, time.Hour}}, vm("m1", "m2")}, "m2 is not reachable with generation 1 and still on the VM list"},
+		{"left just now", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, bound - 20*time.Second}}, vm("m1")}, "balancer m2 left with generation 1; wait 20s more"},
+		{"listed but unknown", Fleet{true, []Member{{"m1", true, 2, 0}}, vm("m1", "m3")}, "m3 is on the VM list but unknown"},
+		{"left long ago", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, bound}}, vm("m1")}, ""},
+		{"all acknowledged", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", true, 3, 0}}, vm("m1", "m2")}, ""},
+	}
+	for _, c := range cases {
+		p := newTestPublisher(newFakeStore())
+		publish(t, p, twoServices("a:1", "a:2"), Fleet{})
+		direct := publish(t, p, twoServices("a:1", "b:2"), c.fleet)
+		assert.Assert(t, cmp.Contains(strings.Join(direct.Reasons, "\n"), "moves from service a to b in one step"), c.name)
+		assert.Equal(t, publish(t, p, twoServices("a:1"), Fleet{}).Outcome, OutcomeAccepted, c.name)
+		moved := publish(t, p, twoServices("a:1", "b:2"), c.fleet)
+		assert.Equal(t, moved.Outcome == OutcomeAccepted, c.refusal == "", "%s: %v", c.name, moved)
+		assert.Assert(t, cmp.Contains(strings.Join(moved.Reasons, "\n"), c.refusal), c.name)
+	}
+}
+
+// Guards against lost accepted changes, false reports and two generations for
+// one publish when several operators publish under faults at every position.
+func TestPublishUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newFakeStore()
+		p := newTestPublisher(store)
+		faulty := rapid.Custom(func(t *rapid.T) fault {
+			if rapid.IntRange(0, 2).Draw(t, "healthy") > 0 {
+				return faultNone
+			}
+			return fault(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind"))
+		})
+		store.next = func() fault { return faulty.Draw(t, "fault") }
+		type edit struct {
+			name string
+			set  objects.Set
+			base uint64
+			plan *Plan
+			once bool
+		}
+		edits := make([]edit, 3)
+		acceptedNames := map[string]bool{}
+		steps := rapid.IntRange(1, 25).Draw(t, "steps")
+		for step := range steps {
+			e := &edits[rapid.IntRange(0, len(edits)-1).Draw(t, "operator")]
+			switch {
+			case e.name == "": // start an edit of the head as this operator reads it
+				head, _, err := ReadHead(ctx, store)
+				if err != nil {
+					continue
+				}
+				set, err := loadOrEmpty(ctx, p, head)
+				if err != nil {
+					continue
+				}
+				*e = edit{name: fmt.Sprintf("p%d", step), base: head.Generation}
+				set.Places = append(set.Places, objects.Place{Name: e.name})
+				e.set = set
+			case e.plan == nil:
+				request := Request{Set: e.set}
+				if !e.once || rapid.Bool().Draw(t, "with base") {
+					request.Base = &e.base
+				}
+				if plan, err := p.Plan(ctx, request, Fleet{}); err == nil {
+					e.plan, e.once = &plan, true
+				}
+			default:
+				r := p.Commit(ctx, *e.plan)
+				id, name := e.plan.ID, e.name
+				e.plan = nil // unknown and failed runs are repeated
+				written := idsWritten(store)
+				switch r.Outcome {
+				case OutcomeAccepted:
+					assert.Assert(t, hasPlace(t, store, r.Generation, name), "reported as accepted: %s", name)
+					acceptedNames[name] = true
+					*e = edit{}
+				case OutcomeConflict:
+					if !r.Repeated && written[id] > 0 {
+						t.Fatalf("conflict reported for a publish that was accepted")
+					}
+					*e = edit{}
+				case OutcomeFailed:
+					assert.Equal(t, written[id], 0, "failed reported for a publish that was accepted")
+				}
+			}
+		}
+		store.next = func() fault { return faultNone }
+		for len(store.late) > 0 {
+			store.applyLate()
+		}
+		for id, n := range idsWritten(store) {
+			assert.Equal(t, n, 1, "generations of publish %s", id)
+		}
+		last := readHead(t, store)
+		for name := range acceptedNames {
+			assert.Assert(t, hasPlace(t, store, last.Generation, name), "accepted change %s was lost", name)
+		}
+	})
+}
+
+// idsWritten counts the generations of each publish id that were ever in force.
+func idsWritten(store *fakeStore) map[string]int {
+	ids := map[string]int{}
+	for i, value := range store.heads {
+		head, err := DecodeHead(value)
+		if err != nil || head.Generation != uint64(i+1) {
+			panic(fmt.Sprintf("head %d: %v, %v", i, head.Generation, err))
+		}
+		ids[head.Recent[0].PublishID]++
+	}
+	return ids
+}
+
+// hasPlace looks into what the store really holds, past its faults.
+func hasPlace(t assert.TestingT, store *fakeStore, generation uint64, name string) bool {
+	head, err := DecodeHead(store.heads[generation-1])
+	assert.NilError(t, err)
+	var data []byte
+	for part := range head.Parts {
+		data = append(data, store.records[PartKey(head.Digest, part)].Value...)
+	}
+	set, err := DecodeSnapshot(data, head.Digest)
+	assert.NilError(t, err)
+	for _, place := range set.Places {
+		if place.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/publish/publisher.go
@@ -0,0 +1,192 @@
+package publish
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+// Bounds of the head record and of the attempts of one run.
+const (
+	// MaxRecent is the number of publishes that the head lists. Each takes up to
+	// about 400 bytes, and every reader of the head fetches them all.
+	MaxRecent = 32
+	// MaxRetired is the number of removed target addresses that the head lists.
+	MaxRetired = 2000
+	// summaryBytes is the length of a summary in the history, without its end "and N more".
+	summaryBytes = 160
+	// headAttempts is how often one run tries to write the head and to find out.
+	headAttempts = 5
+	// partAttempts is how often one run tries to write a part of the snapshot.
+	partAttempts = 3
+	// settleTimeout is how long an interrupted run tries to find out.
+	settleTimeout = 2 * time.Second
+	// firstPause is the pause before the second attempt; later pauses double.
+	firstPause = 100 * time.Millisecond
+)
+
+// Publisher publishes configurations to the key-value service.
+type Publisher struct {
+	Store platform.Store
+	// Now is the clock of the history.
+	Now func() time.Time
+	// Pause waits before the next attempt; an error ends the attempts.
+	Pause func(ctx context.Context, attempt int) error
+}
+
+// New returns a publisher on the wall clock.
+func New(store platform.Store) *Publisher {
+	return &Publisher{Store: store, Now: time.Now, Pause: pause}
+}
+
+// pause waits 100 ms, 200 ms and so on, with jitter so that two writers do not keep in step.
+func pause(ctx context.Context, attempt int) error {
+	d := firstPause << attempt
+	timer := time.NewTimer(d/2 + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Commit writes the snapshot and then the head. It returns accepted only after
+// evidence that the head named this publish, and conflict or failed only when
+// this publish can no longer take effect.
+func (p *Publisher) Commit(ctx context.Context, plan Plan) Result {
+	if plan.Settled != nil {
+		return *plan.Settled
+	}
+	if err := p.writeSnapshot(ctx, plan); err != nil {
+		return *failed("the snapshot could not be written, the head was not touched: %v", err)
+	}
+	next := plan.nextHead(p.Now())
+	sent := false
+	var last error
+	for attempt := range headAttempts {
+		outcome, record, err := p.Store.CompareAndSwap(ctx, HeadKey, EncodeHead(next), plan.revision)
+		switch outcome {
+		case platform.WriteDone:
+			return *accepted(next.Recent[0], false)
+		case platform.WriteFailed:
+			if !sent {
+				return *failed("the head was not written: %v", err)
+			}
+		case platform.WriteConflict:
+			// The answer may be to a repeat of this very write.
+			sent = true
+			if r := p.judgeRecord(ctx, plan, record); r != nil {
+				return *r
+			}
+		case platform.WriteUnknown:
+			sent = true
+		}
+		last = err
+		if r := p.find(ctx, plan); r != nil {
+			return *r
+		}
+		if err := p.Pause(ctx, attempt); err != nil {
+			return p.afterInterrupt(ctx, plan, err)
+		}
+	}
+	if last == nil {
+		last = errors.New("the head read back does not show the write")
+	}
+	return *unknown("the platform did not say whether the head was written: %v", last)
+}
+
+// find reads the head back and judges it; nil means that nothing is certain yet.
+func (p *Publisher) find(ctx context.Context, plan Plan) *Result {
+	record, err := p.Store.Get(ctx, HeadKey)
+	if err != nil {
+		return nil
+	}
+	return p.judgeRecord(ctx, plan, record)
+}
+
+func (p *Publisher) judgeRecord(ctx context.Context, plan Plan, record platform.Record) *Result {
+	head, err := DecodeHead(record.Value)
+	if err != nil {
+		return nil
+	}
+	return p.judge(ctx, plan, head)
+}
+
+// afterInterrupt reads the head once more, because the operator needs to know what is already true.
+func (p *Publisher) afterInterrupt(ctx context.Context, plan Plan, cause error) Result {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	if r := p.find(ctx, plan); r != nil {
+		return *r
+	}
+	return *unknown("interrupted while the head was being written: %v", cause)
+}
+
+// writeSnapshot writes every part that is not there yet. Parts are named by
+// their content, so a part that exists is the same part.
+func (p *Publisher) writeSnapshot(ctx context.Context, plan Plan) error {
+	for i, part := range splitParts(plan.canonical) {
+		if err := p.writePart(ctx, PartKey(plan.digest, i), part); err != nil {
+			return err
+		}
+	}
+	return errors.WithStack(ctx.Err())
+}
+
+func (p *Publisher) writePart(ctx context.Context, key string, value []byte) error {
+	var last error
+	for attempt := range partAttempts {
+		outcome, record, err := p.Store.CompareAndSwap(ctx, key, value, 0)
+		switch {
+		case outcome == platform.WriteDone:
+			return nil
+		case outcome == platform.WriteConflict && bytes.Equal(record.Value, value):
+			return nil
+		case outcome == platform.WriteConflict:
+			return errors.Errorf("%s holds other content", key)
+		}
+		last = err
+		if err := p.Pause(ctx, attempt); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return errors.Wrapf(last, "write %s", key)
+}
+
+// nextHead returns the head that the plan writes.
+func (plan Plan) nextHead(now time.Time) objects.Head {
+	publication := objects.Publication{
+		Generation:  plan.Next,
+		Digest:      plan.digest,
+		Parts:       len(splitParts(plan.canonical)),
+		PublishID:   plan.ID,
+		Summary:     plan.summary(),
+		UnixSeconds: now.Unix(),
+	}
+	recent := append([]objects.Publication{publication}, plan.head.Recent...)
+	return objects.Head{
+		Generation: publication.Generation,
+		Digest:     publication.Digest,
+		Parts:      publication.Parts,
+		Recent:     recent[:min(len(recent), MaxRecent)],
+		Retired:    plan.retired,
+	}
+}
+
+// splitParts cuts canonical JSON into the values of its parts.
+func splitParts(data []byte) [][]byte {
+	var parts [][]byte
+	for len(data) > PartBytes {
+		parts = append(parts, data[:PartBytes])
+		data = data[PartBytes:]
+	}
+	return append(parts, data)
+}
