Add the operator commands and the page about the configuration

check, publish, status, explain, history and rollback. publish shows the changes in words, asks, and follows the generation until every live balancer has it in force; it asks the balancers that seem late themselves, because what members tell about each other lags by up to one exchange. status sums the figures of all live balancers, since each counts the flows that it owns.

A command refuses arguments that it did not declare; go-flags passed them on silently. The scripts run against the platform stand-in and three control planes, with a lost answer, a platform that writes the head and then answers nothing more, an outage, two operators and an interrupt.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -31,8 +32,9 @@
 // Unwrap returns the wrapped error.
 func (e *ExitError) Unwrap() error { return e.Err }
 
-// Streams are the output streams of a command.
+// Streams are the streams of a command.
 type Streams struct {
+	In  io.Reader
 	Out io.Writer
 	Err io.Writer
 }
@@ -54,9 +56,10 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	streams := Streams{Out: out, Err: errOut}
+	streams := Streams{In: os.Stdin, Out: out, Err: errOut}
 	parser := flags.NewNamedParser("kumquatworks", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "layer-4 load balancer"
+	parser.CommandHandler = execute
 	if err := addCommands(parser, streams); err != nil {
 		panic(err) // the command table is part of the program
 	}
@@ -64,6 +67,22 @@
 	return report(err, streams)
 }
 
+// execute runs a command. Arguments that the command did not declare are refused.
+func execute(command flags.Commander, args []string) error {
+	if command == nil {
+		return nil
+	}
+	if len(args) > 0 {
+		return usageError("unexpected argument %q", args[0])
+	}
+	return command.Execute(nil)
+}
+
+// usageError reports a wrong use of the command line.
+func usageError(format string, args ...any) error {
+	return &ExitError{Code: ExitUsage, Err: errors.Errorf(format+"; see kumquatworks --help", args...)}
+}
+
 func addCommands(parser *flags.Parser, streams Streams) error {
 	groups := map[string]*flags.Command{}
 	for _, c := range commands {
--- /dev/null
+++ b/internal/cli/operator.go
@@ -0,0 +1,213 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
+	"github.com/kumquatworks/kumquatworks/internal/transport/control"
+)
+
+const (
+	// requestTimeout bounds one request to one balancer.
+	requestTimeout = 3 * time.Second
+	// requestsAtOnce bounds the balancers that a command asks at the same time.
+	requestsAtOnce = 32
+	// minKeyBytes and maxKeyBytes bound the fleet key, as the balancer settings do.
+	minKeyBytes = 16
+	maxKeyBytes = 64
+)
+
+// platformOption names the platform.
+type platformOption struct {
+	Platform string `long:"platform" value-name:"URL" required:"yes" description:"base URL of the platform's key-value service, such as http://10.0.0.9:7400"`
+}
+
+func (o *platformOption) store() (platform.Store, error) {
+	u, err := url.Parse(o.Platform)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return nil, usageError("--platform: %q is not a URL such as http://10.0.0.9:7400", o.Platform)
+	}
+	return platform.NewClient(strings.TrimSuffix(o.Platform, "/")), nil
+}
+
+// balancerOptions name the balancers that a command may ask.
+type balancerOptions struct {
+	Balancers    []string `long:"balancer" value-name:"ADDR" required:"yes" description:"control address:port of any balancer; repeat it to name others for the case that the first does not answer"`
+	FleetKeyFile string   `long:"fleet-key-file" value-name:"FILE" required:"yes" env:"KUMQUATWORKS_FLEET_KEY_FILE" description:"file with the fleet key, 32 to 128 hexadecimal digits as in the balancer settings"`
+}
+
+// operatorDial returns the client of the balancer at an address.
+type operatorDial func(address string) wire.Operator
+
+// check verifies the addresses and reads the fleet key.
+func (o *balancerOptions) check() (operatorDial, error) {
+	for _, address := range o.Balancers {
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return nil, usageError("--balancer: %q is not an address:port", address)
+		}
+	}
+	key, err := readFleetKey(o.FleetKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	return func(address string) wire.Operator { return control.NewOperatorClient(address, key) }, nil
+}
+
+func readFleetKey(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError("--fleet-key-file: %v", err)
+	}
+	key, err := hex.DecodeString(string(bytes.TrimSpace(data)))
+	if err != nil || len(key) < minKeyBytes || len(key) > maxKeyBytes {
+		return nil, usageError("--fleet-key-file: %s does not hold %d to %d hexadecimal digits", path, 2*minKeyBytes, 2*maxKeyBytes)
+	}
+	return key, nil
+}
+
+// askFirst asks the named balancers in turn and returns the first status.
+func askFirst(ctx context.Context, dial operatorDial, addresses []string) (*wire.StatusResponse, error) {
+	var last error
+	for _, address := range addresses {
+		status, err := askStatus(ctx, dial, address)
+		if err == nil {
+			return status, nil
+		}
+		last = errors.Wrapf(err, "balancer %s", address)
+	}
+	return nil, last
+}
+
+func askStatus(ctx context.Context, dial operatorDial, address string) (*wire.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	status, err := dial(address).Status(ctx, &wire.StatusRequest{})
+	return status, plainError(err)
+}
+
+func explain(ctx context.Context, dial operatorDial, address string, request *wire.ExplainRequest) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	response, err := dial(address).Explain(ctx, request)
+	return response.GetLines(), err
+}
+
+// isInvalid reports whether a balancer answered that the request names something that does not exist.
+func isInvalid(err error) bool {
+	var rpc twirp.Error
+	return errors.As(err, &rpc) && rpc.Code() == twirp.InvalidArgument
+}
+
+// plainError removes the frame that the RPC library puts around an error.
+func plainError(err error) error {
+	var rpc twirp.Error
+	if !errors.As(err, &rpc) {
+		return err
+	}
+	if rpc.Meta("http_error_from_intermediary") != "" && rpc.Meta("status_code") == "401" {
+		return errors.New("refused the fleet key")
+	}
+	text := strings.TrimPrefix(rpc.Msg(), "failed to do request: ")
+	if argument := rpc.Meta("argument"); argument != "" {
+		text = strings.TrimPrefix(text, argument+" ")
+	}
+	return errors.New(text)
+}
+
+// askMembers asks members for their status, a bounded number at a time. The
+// answers and errors are by VM name.
+func askMembers(ctx context.Context, dial operatorDial, members []*wire.Member) (map[string]*wire.StatusResponse, map[string]error) {
+	answers, failures := map[string]*wire.StatusResponse{}, map[string]error{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	tokens := make(chan struct{}, requestsAtOnce)
+	for _, m := range members {
+		wait.Add(1)
+		tokens <- struct{}{}
+		go func() {
+			defer wait.Done()
+			defer func() { <-tokens }()
+			status, err := askStatus(ctx, dial, m.Control)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failures[m.Vm] = err
+				return
+			}
+			answers[m.Vm] = status
+		}()
+	}
+	wait.Wait()
+	return answers, failures
+}
+
+// live reports whether a member takes part in the fleet.
+func live(m *wire.Member) bool {
+	switch m.State {
+	case wire.MemberState_MEMBER_STATE_ALIVE, wire.MemberState_MEMBER_STATE_SUSPECT, wire.MemberState_MEMBER_STATE_LEAVING:
+		return true
+	}
+	return false
+}
+
+// stateName returns the state of a member in lower case.
+func stateName(state wire.MemberState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "MEMBER_STATE_"))
+}
+
+// behind returns the live members that have not reported a generation.
+func behind(members []*wire.Member, generation uint64) []*wire.Member {
+	var list []*wire.Member
+	for _, m := range members {
+		if live(m) && m.Generation < generation {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// refresh asks the live members below a generation themselves, because what
+// members tell about each other lags by up to one exchange. It returns why the rest could not be asked.
+func refresh(ctx context.Context, dial operatorDial, members []*wire.Member, generation uint64) map[string]error {
+	answers, failures := askMembers(ctx, dial, behind(members, generation))
+	for _, m := range members {
+		if status := answers[m.Vm]; status != nil {
+			m.Generation = max(m.Generation, status.Generation)
+		}
+	}
+	return failures
+}
+
+// readFleet returns what the publish rules need to know about the balancers.
+func readFleet(ctx context.Context, dial operatorDial, addresses []string, store platform.Store) (publish.Fleet, error) {
+	status, err := askFirst(ctx, dial, addresses)
+	if err != nil {
+		return publish.Fleet{}, err
+	}
+	refresh(ctx, dial, status.Members, status.Generation)
+	fleet := publish.Fleet{}
+	for _, m := range status.Members {
+		fleet.Members = append(fleet.Members, publish.Member{
+			VM:         m.Vm,
+			Live:       live(m),
+			Generation: m.Generation,
+			GoneFor:    time.Duration(m.GoneSeconds * float64(time.Second)),
+		})
+	}
+	fleet.VMs, err = store.VMs(ctx)
+	fleet.Known = err == nil
+	return fleet, nil
+}
--- /dev/null
+++ b/internal/cli/operator_check.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+)
+
+func init() {
+	register(command{
+		name:  "check",
+		short: "check configuration files",
+		long: "Checks a whole configuration and prints every fault and warning. Nothing is published and nothing is asked over the network. " +
+			"Exit codes: 0 no fault (warnings are allowed), 1 faults, 2 wrong use. " +
+			"Example: kumquatworks check conf/",
+		build: func(s Streams) flags.Commander { return &checkCommand{streams: s} },
+	})
+}
+
+// pathArguments are the files of a configuration.
+type pathArguments struct {
+	Paths []string `positional-arg-name:"PATH" required:"1" description:"JSON file, or folder whose *.json files are read"`
+}
+
+type checkCommand struct {
+	Args    pathArguments `positional-args:"yes"`
+	streams Streams
+}
+
+// Execute prints faults and warnings.
+func (c *checkCommand) Execute([]string) error {
+	set, err := readSet(c.streams, c.Args.Paths)
+	if err != nil {
+		return err
+	}
+	printWarnings(c.streams, objects.Warnings(set))
+	_, err = fmt.Fprintf(c.streams.Out, "no fault: %s, %s, %s, %s\n", count(len(set.Places), "place"), count(len(set.Services), "service"),
+		count(len(set.Pools), "pool"), count(len(set.Targets), "target"))
+	return err
+}
+
+// readSet reads and checks a configuration and prints its faults.
+func readSet(s Streams, paths []string) (objects.Set, error) {
+	files, err := objects.ReadPaths(paths)
+	if err != nil {
+		return objects.Set{}, usageError("%v", err)
+	}
+	set, faults := objects.Parse(files)
+	for _, f := range faults {
+		fmt.Fprintln(s.Err, f.Error())
+	}
+	if len(faults) > 0 {
+		return objects.Set{}, errors.Errorf("%s in %s", count(len(faults), "fault"), strings.Join(paths, " "))
+	}
+	return set, nil
+}
+
+func printWarnings(s Streams, warnings []string) {
+	for _, w := range warnings {
+		fmt.Fprintln(s.Out, "warning: "+w)
+	}
+}
+
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- /dev/null
+++ b/internal/cli/operator_print.go
@@ -0,0 +1,121 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// maxListed bounds the VMs and targets that the text form lists; JSON has them all.
+const maxListed = 50
+
+// print writes the report as text.
+func (r *fleetReport) print(out io.Writer, allTargets bool) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "generation %d (digest %.12s at %s); figures from %s; flow table entries: %d\n",
+		r.Generation, r.Digest, r.Balancer, count(r.Answers, "balancer"), r.Flows)
+	r.printPlaces(&b)
+	r.printVMs(&b)
+	r.printPools(&b)
+	r.printTargets(&b, allTargets)
+	fmt.Fprintln(&b)
+	if len(r.Attention) == 0 {
+		fmt.Fprintln(&b, "attention: nothing")
+	}
+	for _, a := range r.Attention {
+		fmt.Fprintln(&b, "attention: "+a)
+	}
+	_, err := out.Write(b.Bytes())
+	return err
+}
+
+func newTable(b *bytes.Buffer, heading string) *tabwriter.Writer {
+	table := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, heading)
+	return table
+}
+
+func (r *fleetReport) printPlaces(b *bytes.Buffer) {
+	table := newTable(b, "\nPLACE\tLIVE\tLEAVING\tSUSPECTED\tDEAD\tGENERATION\tPLATFORM")
+	for _, p := range r.Places {
+		generation := fmt.Sprint(p.HighestGeneration)
+		if p.LowestGeneration != p.HighestGeneration {
+			generation = fmt.Sprintf("%d to %d", p.LowestGeneration, p.HighestGeneration)
+		}
+		platform := "not reachable"
+		if p.PlatformReachable {
+			platform = "reachable"
+		}
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%s\t%s, last answer %s\n", p.Place, p.Live, p.Leaving, p.Suspected, p.Dead, generation, platform, ago(p.PlatformAge))
+	}
+	_ = table.Flush() // writes to memory
+}
+
+// printVMs lists the VMs that are not simply alive with the newest generation.
+func (r *fleetReport) printVMs(b *bytes.Buffer) {
+	var list []vmReport
+	for _, vm := range r.VMs {
+		if vm.State != "alive" || vm.Generation != r.Generation || vm.Problem != "" {
+			list = append(list, vm)
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	table := newTable(b, "\nVM\tPLACE\tSTATE\tGENERATION\tNOTE")
+	for i, vm := range list {
+		if i == maxListed {
+			fmt.Fprintf(table, "and %d more\n", len(list)-i)
+			break
+		}
+		note := vm.Problem
+		if vm.GoneSeconds > 0 {
+			note = "gone since " + ago(vm.GoneSeconds)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", vm.VM, vm.Place, vm.State, vm.Generation, note)
+	}
+	_ = table.Flush() // writes to memory
+}
+
+func (r *fleetReport) printPools(b *bytes.Buffer) {
+	table := newTable(b, "\nPOOL\tSERVICE\tTARGETS\tOPEN FLOWS\tIMBALANCE\tDRAINING\tCOLD\tSHEDDING\tUNHEALTHY\tFULL")
+	for _, p := range r.Pools {
+		imbalance := "-"
+		if p.Imbalance > 0 {
+			imbalance = fmt.Sprintf("%.2f", p.Imbalance)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Service, p.Targets, p.OpenFlows, imbalance,
+			p.States["draining"], p.States["cold"], p.States["shedding"], p.States["unhealthy"], p.States["full"])
+	}
+	_ = table.Flush() // writes to memory
+}
+
+// printTargets lists the targets that do not serve normally, or all.
+func (r *fleetReport) printTargets(b *bytes.Buffer, all bool) {
+	var list []targetReport
+	for _, t := range r.Targets {
+		if all || t.State != "serving" {
+			list = append(list, t)
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	table := newTable(b, "\nTARGET\tPOOL\tSTATE\tSEEN BY\tOPEN FLOWS\tLAST REPORT\tREASON")
+	for i, t := range list {
+		if i == maxListed && !all {
+			fmt.Fprintf(table, "and %d more; --targets lists all\n", len(list)-i)
+			break
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d of %d\t%d\t%s\t%s\n", t.Target, t.Pool, t.State, t.Reporters, r.Answers, t.OpenFlows, ago(t.Age), t.Reason)
+	}
+	_ = table.Flush() // writes to memory
+}
+
+func ago(seconds float64) string {
+	if seconds < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f s ago", seconds)
+}
--- /dev/null
+++ b/internal/cli/operator_report.go
@@ -0,0 +1,250 @@
+package cli
+
+import (
+	"cmp"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// fleetReport is the state of the fleet, as status prints it. Ages are in
+// seconds; -1 means that there is no figure yet.
+type fleetReport struct {
+	// Balancer is the VM that was asked first.
+	Balancer string `json:"balancer"`
+	// Generation is the highest generation in force at a live balancer.
+	Generation uint64 `json:"generation"`
+	// Digest is the digest of the generation in force at Balancer.
+	Digest string `json:"digest"`
+	// Answers is the number of balancers whose figures are summed.
+	Answers int `json:"answers"`
+	// Flows is the sum of the flow table entries; copies and learned entries count.
+	Flows     uint64         `json:"flow_entries"`
+	Places    []placeReport  `json:"places"`
+	VMs       []vmReport     `json:"vms"`
+	Pools     []poolReport   `json:"pools"`
+	Targets   []targetReport `json:"targets"`
+	Alarms    []alarmReport  `json:"alarms"`
+	Attention []string       `json:"attention"`
+}
+
+type placeReport struct {
+	Place     string `json:"place"`
+	Live      int    `json:"live"`
+	Leaving   int    `json:"leaving"`
+	Suspected int    `json:"suspected"`
+	Dead      int    `json:"dead"`
+	// LowestGeneration and HighestGeneration are those in force at the live balancers.
+	LowestGeneration  uint64  `json:"lowest_generation"`
+	HighestGeneration uint64  `json:"highest_generation"`
+	PlatformReachable bool    `json:"platform_reachable"`
+	PlatformAge       float64 `json:"platform_age_seconds"`
+}
+
+type vmReport struct {
+	VM         string `json:"vm"`
+	Place      string `json:"place"`
+	State      string `json:"state"`
+	Generation uint64 `json:"generation"`
+	Control    string `json:"control"`
+	// Answered tells that the figures are from the balancer itself; otherwise others told them.
+	Answered    bool    `json:"answered"`
+	Problem     string  `json:"problem,omitempty"`
+	GoneSeconds float64 `json:"gone_seconds,omitempty"`
+}
+
+type poolReport struct {
+	Pool      string `json:"pool"`
+	Service   string `json:"service"`
+	Targets   int    `json:"targets"`
+	OpenFlows uint64 `json:"open_flows"`
+	// Imbalance is the largest number of open flows over the mean, over the targets in service; 0 without flows.
+	Imbalance float64 `json:"imbalance"`
+	// States counts the targets by state.
+	States map[string]int `json:"states"`
+}
+
+type targetReport struct {
+	Target    string `json:"target"`
+	Pool      string `json:"pool"`
+	Service   string `json:"service"`
+	OpenFlows uint64 `json:"open_flows"`
+	// State is the most restrictive state that a balancer reports, by Reporters balancers.
+	State     string  `json:"state"`
+	Reporters int     `json:"reporters"`
+	Reason    string  `json:"reason,omitempty"`
+	Age       float64 `json:"age_seconds"`
+}
+
+type alarmReport struct {
+	VM   string `json:"vm"`
+	Text string `json:"text"`
+}
+
+// restrictions orders the states of a target, least restrictive first.
+var restrictions = []string{"serving", "cold", "full", "shedding", "unhealthy", "draining"}
+
+// newFleetReport merges the answers. What members tell about each other comes from the first.
+func newFleetReport(first *wire.StatusResponse, o others) *fleetReport {
+	answers := map[string]*wire.StatusResponse{first.Vm: first}
+	maps.Copy(answers, o.answers)
+	r := &fleetReport{
+		Balancer: first.Vm, Generation: first.Generation, Digest: hex.EncodeToString(first.Digest), Answers: len(answers),
+		Places: []placeReport{}, VMs: []vmReport{}, Pools: []poolReport{}, Targets: []targetReport{}, Alarms: []alarmReport{}, Attention: []string{},
+	}
+	for _, m := range first.Members {
+		r.addVM(m, answers[m.Vm], o.failures[m.Vm])
+	}
+	targets := map[string]*targetReport{}
+	for _, vm := range slices.Sorted(maps.Keys(answers)) {
+		r.Flows += answers[vm].Flows
+		for _, text := range answers[vm].Alarms {
+			r.Alarms = append(r.Alarms, alarmReport{VM: vm, Text: text})
+		}
+		for _, t := range answers[vm].Targets {
+			mergeTarget(targets, t)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(targets)) {
+		r.Targets = append(r.Targets, *targets[name])
+	}
+	r.addPlaces(answers)
+	r.addPools()
+	r.addAttention()
+	return r
+}
+
+func (r *fleetReport) addVM(m *wire.Member, answer *wire.StatusResponse, failure error) {
+	vm := vmReport{VM: m.Vm, Place: m.Place, State: stateName(m.State), Generation: m.Generation, Control: m.Control, GoneSeconds: m.GoneSeconds}
+	if answer != nil {
+		vm.Generation, vm.Answered = answer.Generation, true
+	}
+	if failure != nil {
+		vm.Problem = "does not answer: " + failure.Error()
+	}
+	if live(m) {
+		r.Generation = max(r.Generation, vm.Generation)
+	}
+	r.VMs = append(r.VMs, vm)
+}
+
+func mergeTarget(targets map[string]*targetReport, t *wire.TargetStatus) {
+	merged := targets[t.Target]
+	if merged == nil {
+		merged = &targetReport{Target: t.Target, Pool: t.Pool, Service: t.Service, State: restrictions[0], Age: -1}
+		targets[t.Target] = merged
+	}
+	merged.OpenFlows += t.OpenFlows
+	if t.AgeSeconds >= 0 && (merged.Age < 0 || t.AgeSeconds < merged.Age) {
+		merged.Age = t.AgeSeconds
+	}
+	was, is := slices.Index(restrictions, merged.State), slices.Index(restrictions, t.State)
+	if is > was {
+		merged.State, merged.Reason, merged.Reporters = t.State, t.Reason, 0
+	}
+	if is >= was {
+		merged.Reporters++
+	}
+}
+
+func (r *fleetReport) addPlaces(answers map[string]*wire.StatusResponse) {
+	places := map[string]*placeReport{}
+	for _, vm := range r.VMs {
+		p := places[vm.Place]
+		if p == nil {
+			p = &placeReport{Place: vm.Place, PlatformAge: -1}
+			places[vm.Place] = p
+		}
+		p.addVM(vm, answers[vm.VM])
+	}
+	for _, name := range slices.Sorted(maps.Keys(places)) {
+		r.Places = append(r.Places, *places[name])
+	}
+}
+
+func (p *placeReport) addVM(vm vmReport, answer *wire.StatusResponse) {
+	switch vm.State {
+	case "dead":
+		p.Dead++
+		return
+	case "left":
+		return
+	case "suspect":
+		p.Suspected++
+	case "leaving":
+		p.Leaving++
+	}
+	p.Live++
+	if p.Live == 1 || vm.Generation < p.LowestGeneration {
+		p.LowestGeneration = vm.Generation
+	}
+	p.HighestGeneration = max(p.HighestGeneration, vm.Generation)
+	if answer == nil {
+		return
+	}
+	p.PlatformReachable = p.PlatformReachable || answer.PlatformReachable
+	if age := answer.PlatformAgeSeconds; age >= 0 && (p.PlatformAge < 0 || age < p.PlatformAge) {
+		p.PlatformAge = age
+	}
+}
+
+func (r *fleetReport) addPools() {
+	pools := map[string]*poolReport{}
+	largest, inService := map[string]uint64{}, map[string]uint64{}
+	for _, t := range r.Targets {
+		p := pools[t.Pool]
+		if p == nil {
+			p = &poolReport{Pool: t.Pool, Service: t.Service, States: map[string]int{}}
+			pools[t.Pool] = p
+		}
+		p.Targets++
+		p.States[t.State]++
+		p.OpenFlows += t.OpenFlows
+		if t.State != "draining" && t.State != "unhealthy" {
+			largest[t.Pool] = max(largest[t.Pool], t.OpenFlows)
+			inService[t.Pool] += t.OpenFlows
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		p := pools[name]
+		if flows := inService[name]; flows > 0 {
+			targets := p.Targets - p.States["draining"] - p.States["unhealthy"]
+			p.Imbalance = float64(largest[name]) * float64(targets) / float64(flows)
+		}
+		r.Pools = append(r.Pools, *p)
+	}
+}
+
+// addAttention lists what an operator has to look at.
+func (r *fleetReport) addAttention() {
+	for _, a := range r.Alarms {
+		r.attend("%s: %s", a.VM, a.Text)
+	}
+	for _, vm := range r.VMs {
+		switch {
+		case vm.Problem != "":
+			r.attend("%s: %s", vm.VM, vm.Problem)
+		case vm.State == "suspect" || vm.State == "dead":
+			r.attend("%s: is %s", vm.VM, vm.State)
+		case vm.State != "left" && vm.Generation < r.Generation:
+			r.attend("%s: has generation %d, the fleet has %d", vm.VM, vm.Generation, r.Generation)
+		}
+	}
+	for _, p := range r.Places {
+		if p.Live > 0 && !p.PlatformReachable && p.PlatformAge >= 0 {
+			r.attend("place %s: does not reach the platform", cmp.Or(p.Place, "unknown"))
+		}
+	}
+	for _, p := range r.Pools {
+		if p.States["draining"]+p.States["unhealthy"] == p.Targets {
+			r.attend("pool %s: no target takes new flows by choice", p.Pool)
+		}
+	}
+}
+
+func (r *fleetReport) attend(format string, args ...any) {
+	r.Attention = append(r.Attention, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/cli/operator_status.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"slices"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+func init() {
+	register(command{
+		name:  "status",
+		short: "show the state of the fleet",
+		long: "Asks one balancer, and through it every live balancer, for generations, VMs, targets and alarms. Works while the platform is down. " +
+			"Ages are in seconds. Exit codes: 0 nothing needs attention; 1 something does, listed under attention; 2 wrong use; 4 no balancer answers. " +
+			"Example: kumquatworks status --balancer 10.0.0.1:7600 --fleet-key-file fleet.key",
+		build: func(s Streams) flags.Commander { return &statusCommand{streams: s} },
+	})
+}
+
+type statusCommand struct {
+	balancerOptions
+	JSON    bool `long:"json" description:"print JSON"`
+	Local   bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns"`
+	Targets bool `long:"targets" description:"list every target, also those that serve normally"`
+	streams Streams
+}
+
+// Execute prints the state of the fleet.
+func (c *statusCommand) Execute([]string) error {
+	dial, err := c.check()
+	if err != nil {
+		return err
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	first, err := askFirst(ctx, dial, c.Balancers)
+	if err != nil {
+		return &ExitError{Code: ExitUnknown, Err: errors.Wrap(err, "no balancer answers")}
+	}
+	report := newFleetReport(first, c.askOthers(ctx, dial, first))
+	if c.JSON {
+		err = printJSON(c.streams, report)
+	} else {
+		err = report.print(c.streams.Out, c.Targets)
+	}
+	if err == nil && len(report.Attention) > 0 {
+		err = errors.Errorf("%s", count(len(report.Attention), "thing")+" to attend to")
+	}
+	return err
+}
+
+// others are the answers of the other live balancers.
+type others struct {
+	answers  map[string]*wire.StatusResponse
+	failures map[string]error
+}
+
+func (c *statusCommand) askOthers(ctx context.Context, dial operatorDial, first *wire.StatusResponse) others {
+	if c.Local {
+		return others{}
+	}
+	members := slices.DeleteFunc(slices.Clone(first.Members), func(m *wire.Member) bool { return m.Vm == first.Vm || !live(m) })
+	answers, failures := askMembers(ctx, dial, members)
+	return others{answers: answers, failures: failures}
+}
--- /dev/null
+++ b/internal/cli/operator_test.go
@@ -0,0 +1,233 @@
+package cli
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
+	standplatform "github.com/kumquatworks/kumquatworks/internal/standin/platform"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+	"github.com/kumquatworks/kumquatworks/internal/transport/control"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"kumquatworks": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+var testKey = []byte("0123456789abcdef")
+
+// operatorFleet is a platform stand-in and three control planes.
+type operatorFleet struct {
+	server *standplatform.Server
+	url    string
+	stop   map[string]func()
+	// crash makes the platform write the next head and then answer nothing more.
+	crash atomic.Bool
+	dark  atomic.Bool
+}
+
+// ServeHTTP passes calls to the platform until it crashes.
+func (f *operatorFleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.crash.Load() && r.Method == http.MethodPut && strings.Contains(r.URL.Path, publish.HeadKey) {
+		f.server.ServeHTTP(httptest.NewRecorder(), r)
+		f.dark.Store(true)
+	}
+	if f.dark.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	f.server.ServeHTTP(w, r)
+}
+
+// Guards against operator commands that report something untrue, exit with the
+// wrong code or name no next step; each script says which.
+func TestOperatorScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			fleet := &operatorFleet{stop: map[string]func(){}}
+			env.Values["fleet"] = fleet
+			return fleet.start(env)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"switches": func(ts *testscript.TestScript, _ bool, args []string) {
+				var s standplatform.Switches
+				ts.Check(json.Unmarshal([]byte(args[0]), &s))
+				fleetOf(ts).server.Set(s)
+			},
+			"crash": func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).crash.Store(true) },
+			"recover": func(ts *testscript.TestScript, _ bool, _ []string) {
+				fleetOf(ts).crash.Store(false)
+				fleetOf(ts).dark.Store(false)
+			},
+			"stop":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).stop[args[0]]() },
+			"removevm": func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).server.RemoveVM(args[0]) },
+			"waithead": waitHead,
+		},
+	})
+}
+
+func fleetOf(ts *testscript.TestScript) *operatorFleet {
+	return ts.Value("fleet").(*operatorFleet)
+}
+
+// start runs the platform and the control planes, and tells the script their addresses.
+func (f *operatorFleet) start(env *testscript.Env) error {
+	f.server = standplatform.NewServer(time.Now, nil)
+	server := httptest.NewServer(f)
+	f.url = server.URL
+	env.Defer(server.Close)
+	env.Setenv("PLATFORM", f.url)
+	var seeds []netip.AddrPort
+	for i, vm := range []string{"m1", "m2", "m3"} {
+		plane, err := control.New(control.Options{
+			VM: vm, Place: fmt.Sprintf("pl-%c", 'a'+i), Seeds: seeds, FleetKey: testKey, Seed: uint64(i),
+			Store:   platform.NewClient(strings.Replace(f.url, "http://", "http://"+vm+"@", 1)),
+			Data:    netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(4000+i)),
+			Control: netip.MustParseAddrPort("127.0.0.1:0"),
+			Core:    fakeCore{},
+		})
+		if err != nil {
+			return err
+		}
+		seeds = append(seeds, plane.Address())
+		f.server.PutVM(platform.VM{Name: vm, Place: fmt.Sprintf("pl-%c", 'a'+i), Control: plane.Address()})
+		env.Setenv(strings.ToUpper(vm), plane.Address().String())
+		f.run(env, vm, plane)
+	}
+	key := env.WorkDir + "/fleet.key"
+	env.Setenv("KUMQUATWORKS_FLEET_KEY_FILE", key)
+	if err := os.WriteFile(key, []byte(hex.EncodeToString(testKey)+"\n"), 0o600); err != nil {
+		return err
+	}
+	return f.awaitMembers(seeds[0].String(), len(seeds))
+}
+
+func (f *operatorFleet) run(env *testscript.Env, vm string, plane *control.Plane) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = plane.Run(ctx) // ends with the script
+		close(ended)
+	}()
+	f.stop[vm] = func() { cancel(); <-ended }
+	env.Defer(f.stop[vm])
+}
+
+func (f *operatorFleet) awaitMembers(address string, n int) error {
+	client := control.NewOperatorClient(address, testKey)
+	for range 500 {
+		status, err := client.Status(context.Background(), &wire.StatusRequest{})
+		if err == nil && len(status.Members) == n {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("no fleet of %d", n)
+}
+
+// waitHead waits until the platform holds a generation.
+func waitHead(ts *testscript.TestScript, _ bool, args []string) {
+	generation, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	store := platform.NewClient(fleetOf(ts).url)
+	for range 1000 {
+		head, _, err := publish.ReadHead(context.Background(), store)
+		if err == nil && head.Generation >= generation {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ts.Fatalf("the platform never showed generation %d", generation)
+}
+
+// fakeCore answers status and explain requests with fixed figures.
+type fakeCore struct{ coordination.Core }
+
+func (fakeCore) Flows() int { return 7 }
+
+func (fakeCore) Decisions() []string { return []string{"forward 10.9.0.7:40112 to q-01"} }
+
+func (fakeCore) Targets(time.Time) []coordination.TargetState {
+	return []coordination.TargetState{
+		{Target: "q-01", Pool: "quotes", Service: "quote-desk", OpenFlows: 3, State: "serving"},
+		{Target: "q-02", Pool: "quotes", Service: "quote-desk", OpenFlows: 1, State: "draining", Reason: "drain is set"},
+	}
+}
+
+func (fakeCore) Handoff(time.Time, int) []coordination.HandoffBatch { return nil }
+
+func (fakeCore) AcceptHandoff(time.Time, []state.Binding) int { return 0 }
+
+// Guards against figures that are summed, merged or judged wrongly over the fleet.
+func TestFleetReport(t *testing.T) {
+	target := func(name, state string, flows uint64, age float64) *wire.TargetStatus {
+		return &wire.TargetStatus{Target: name, Pool: "p", Service: "s", OpenFlows: flows, State: state, AgeSeconds: age, Reason: state}
+	}
+	first := &wire.StatusResponse{Vm: "m1", Generation: 4, Members: []*wire.Member{
+		{Vm: "m1", Place: "a", State: wire.MemberState_MEMBER_STATE_ALIVE, Generation: 4},
+		{Vm: "m2", Place: "a", State: wire.MemberState_MEMBER_STATE_LEAVING, Generation: 3},
+		{Vm: "m3", Place: "b", State: wire.MemberState_MEMBER_STATE_SUSPECT, Generation: 3},
+		{Vm: "m4", Place: "b", State: wire.MemberState_MEMBER_STATE_DEAD, Generation: 9},
+	}, PlatformReachable: true, PlatformAgeSeconds: 2, Targets: []*wire.TargetStatus{target("t1", "serving", 6, 3), target("t2", "draining", 9, -1)}}
+	second := &wire.StatusResponse{Vm: "m2", Generation: 4, PlatformAgeSeconds: -1, Alarms: []string{"odd"},
+		Targets: []*wire.TargetStatus{target("t1", "cold", 0, 1), target("t3", "serving", 2, -1)}}
+	r := newFleetReport(first, others{answers: map[string]*wire.StatusResponse{"m2": second}, failures: map[string]error{"m3": fmt.Errorf("timeout")}})
+	assert.DeepEqual(t, r.Places, []placeReport{
+		{Place: "a", Live: 2, Leaving: 1, LowestGeneration: 4, HighestGeneration: 4, PlatformReachable: true, PlatformAge: 2},
+		{Place: "b", Live: 1, Suspected: 1, Dead: 1, LowestGeneration: 3, HighestGeneration: 3, PlatformAge: -1},
+	})
+	assert.DeepEqual(t, r.Pools, []poolReport{
+		{Pool: "p", Service: "s", Targets: 3, OpenFlows: 17, Imbalance: 1.5, States: map[string]int{"cold": 1, "draining": 1, "serving": 1}},
+	})
+	assert.DeepEqual(t, r.Targets[0], targetReport{Target: "t1", Pool: "p", Service: "s", OpenFlows: 6, State: "cold", Reporters: 1, Reason: "cold", Age: 1})
+	assert.DeepEqual(t, r.Attention, []string{"m2: odd", "m3: does not answer: timeout", "m4: is dead"})
+}
+
+// Guards against a table of objects in docs/configuration.md that differs from the checks in the code.
+func TestConfigurationPageFollowsCode(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	assert.NilError(t, err)
+	for _, kind := range objects.Kinds {
+		assert.Assert(t, strings.Contains(string(page), fieldTable(kind)), "docs/configuration.md lacks this table:\n%s", fieldTable(kind))
+	}
+}
+
+// fieldTable returns the table of a kind as the page has it.
+func fieldTable(kind objects.Kind) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "### %s\n\nList `%s`, at most %d.\n\n| field | type | unit | default | legal values | meaning |\n| --- | --- | --- | --- | --- | --- |\n", kind.Name, kind.List, kind.Max)
+	for _, f := range kind.Fields {
+		value := "none, optional"
+		if f.Required {
+			value = "required"
+		} else if f.Default != "" {
+			value = f.Default
+		}
+		unit := f.Unit
+		if unit == "" {
+			unit = "-"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", f.Name, f.Type, unit, value, f.Bound(), f.Meaning)
+	}
+	return b.String()
+}
--- a/internal/publish/outcome.go
+++ b/internal/publish/outcome.go
@@ -33,14 +33,19 @@
 	Generation uint64
 	// Repeated reports that an earlier run had published this already.
 	Repeated bool
-	// Reasons say in words why the publish was not accepted, or is in doubt.
+	// Reasons say in words why the publish was not accepted, is in doubt or was followed by another.
 	Reasons []string
 	// Others are the changes of the other publish in words.
 	Others []string
 }
 
-func accepted(p objects.Publication, repeated bool) *Result {
-	return &Result{Outcome: OutcomeAccepted, Generation: p.Generation, Repeated: repeated}
+// accepted is the result of a publication that a head lists.
+func accepted(p objects.Publication, head objects.Head, repeated bool) *Result {
+	r := &Result{Outcome: OutcomeAccepted, Generation: p.Generation, Repeated: repeated}
+	if head.Generation > p.Generation {
+		r.Reasons = []string{fmt.Sprintf("generation %d was published after it and is in force now", head.Generation)}
+	}
+	return r
 }
 
 func failed(format string, args ...any) *Result {
--- a/internal/publish/plan.go
+++ b/internal/publish/plan.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		if i == 0 {
-			return accepted(publication, true)
+			return accepted(publication, plan.head, true)
 		}
 		if based {
 			return nil // the operator named the generation to replace
@@ -159,7 +159,7 @@
 func (p *Publisher) judge(ctx context.Context, plan Plan, head objects.Head) *Result {
 	for _, publication := range head.Recent {
 		if publication.PublishID == plan.ID {
-			return accepted(publication, false)
+			return accepted(publication, head, false)
 		}
 	}
 	if head.Generation <= plan.Base {
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -107,7 +107,7 @@
 	var base uint64
 	plan, err := p.Plan(ctx, Request{Set: set, Base: &base}, Fleet{})
 	assert.NilError(t, err)
-	assert.DeepEqual(t, *plan.Settled, Result{Outcome: OutcomeAccepted, Generation: 1, Repeated: true})
+	assert.DeepEqual(t, *plan.Settled, Result{Outcome: OutcomeAccepted, Generation: 1, Repeated: true, Reasons: []string{"generation 2 was published after it and is in force now"}})
 	assert.Equal(t, readHead(t, store).Generation, uint64(2))
 }
 
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -75,7 +75,7 @@
 		outcome, record, err := p.Store.CompareAndSwap(ctx, HeadKey, EncodeHead(next), plan.revision)
 		switch outcome {
 		case platform.WriteDone:
-			return *accepted(next.Recent[0], false)
+			return *accepted(next.Recent[0], next, false)
 		case platform.WriteFailed:
 			if !sent {
 				return *failed("the head was not written: %v", err)
