Add the fabric, target and caller stand-ins

The path from a caller through balancers to targets can now run on loopback. The fabric sends each packet of an endpoint to a random live balancer; the target records each request id that it ran; the caller checks that an answer is complete, its own, and from the right service.

--- /dev/null
+++ b/internal/cli/standin_caller.go
@@ -0,0 +1,99 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/standin/caller"
+	"github.com/kumquatworks/kumquatworks/internal/standin/exchange"
+	"github.com/kumquatworks/kumquatworks/internal/standin/fabric"
+)
+
+func init() {
+	register(command{
+		group: standinGroup,
+		name:  "caller",
+		short: "run a caller stand-in",
+		long: "Opens QUIC connections to a service through the fabric, checks every answer and prints a JSON report. " +
+			"Feeds, and requests without a number, go on until SIGTERM. Example: kumquatworks standin caller " +
+			"--fabric 127.0.0.1:7500 --address 10.9.0.1 --service quote-desk=10.0.0.1:443 --requests 100 --feeds 10",
+		build: func(s Streams) flags.Commander { return &standinCallerCommand{streams: s} },
+	})
+}
+
+type standinCallerCommand struct {
+	Fabric      string        `long:"fabric" default:"127.0.0.1:7500" description:"UDP address:port of the fabric"`
+	Place       string        `long:"place" description:"place of the caller"`
+	Address     string        `long:"address" default:"10.9.0.1" description:"inner IPv4 address of the caller"`
+	Service     string        `long:"service" required:"true" description:"NAME=ADDRESS:PORT of the service inside the fabric"`
+	Requests    int           `long:"requests" description:"number of requests; 0 with a concurrency is without end"`
+	Concurrency int           `long:"concurrency" default:"0" description:"requests in progress at once"`
+	Rate        float64       `long:"rate" default:"0" description:"requests a second; 0 is without limit"`
+	Feeds       int           `long:"feeds" default:"0" description:"feeds held until SIGTERM"`
+	IdleFeeds   int           `long:"idle-feeds" default:"0" description:"feeds among them without messages or keepalives"`
+	Interval    time.Duration `long:"feed-interval" default:"100ms" description:"interval of a feed's messages"`
+	WorkMS      int           `long:"work-ms" default:"1" description:"time in a slot for each request, in ms"`
+	Bytes       int           `long:"bytes" default:"4000" description:"bytes of each answer"`
+	Upload      int           `long:"upload" default:"0" description:"bytes of each upload"`
+	DeadlineMS  int           `long:"deadline-ms" default:"0" description:"longest wait for a slot, in ms; 0 is without limit"`
+	HTTP        string        `long:"http" description:"HTTP address:port of the report in progress; none if empty"`
+	Strict      bool          `long:"strict" description:"exit 1 unless every request and feed was whole"`
+	streams     Streams
+}
+
+// Execute runs the session and prints its report.
+func (c *standinCallerCommand) Execute([]string) error {
+	name, endpoint, err := exchange.ParseNamed(c.Service)
+	if err != nil {
+		return errors.Wrap(err, "--service")
+	}
+	address, err := netip.ParseAddr(c.Address)
+	if err != nil {
+		return errors.Wrap(err, "--address")
+	}
+	ctx, stop := untilSignal()
+	defer stop()
+	attachment, err := fabric.Attach(ctx, c.Fabric, c.Place, []netip.Addr{address})
+	if err != nil {
+		return err
+	}
+	defer attachment.Close()
+	options := caller.Options{Address: address, Service: name, Endpoint: endpoint, Prefix: name + "-" + c.Address}
+	report, err := c.run(ctx, caller.NewSession(caller.New(attachment, options), c.session()))
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(c.streams.Out).Encode(report); err != nil {
+		return errors.WithStack(err)
+	}
+	if c.Strict && !report.IsClean() {
+		return errors.New("not every request and feed was whole")
+	}
+	return nil
+}
+
+func (c *standinCallerCommand) session() caller.SessionOptions {
+	return caller.SessionOptions{
+		Work:     caller.Work{WorkMS: c.WorkMS, Bytes: c.Bytes, Upload: c.Upload, DeadlineMS: c.DeadlineMS},
+		Requests: c.Requests, Concurrency: c.Concurrency, Rate: c.Rate,
+		Feeds: c.Feeds, IdleFeeds: c.IdleFeeds, Interval: c.Interval,
+	}
+}
+
+// run runs the session, with its HTTP server if one is wanted.
+func (c *standinCallerCommand) run(ctx context.Context, session *caller.Session) (caller.Report, error) {
+	if c.HTTP == "" {
+		return session.Run(ctx), nil
+	}
+	web, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- serveHTTP(web, c.HTTP, session.Handler(), newLogger(c.streams, "caller")) }()
+	report := session.Run(ctx)
+	stop()
+	return report, <-served
+}
--- /dev/null
+++ b/internal/cli/standin_fabric.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/standin/fabric"
+)
+
+func init() {
+	register(command{
+		group: standinGroup,
+		name:  "fabric",
+		short: "run the packet fabric stand-in",
+		long: "Carries GRE-in-UDP packets between endpoints and balancers, each packet of an endpoint to a random " +
+			"balancer of the VM list. Fault switches are below /test/ on the HTTP address. Stops at SIGTERM. " +
+			"Example: kumquatworks standin fabric --listen 127.0.0.1:7500 --http 127.0.0.1:7501 --platform http://127.0.0.1:7400",
+		build: func(s Streams) flags.Commander { return &standinFabricCommand{streams: s} },
+	})
+}
+
+type standinFabricCommand struct {
+	Listen    string        `long:"listen" default:"127.0.0.1:7500" description:"UDP address:port"`
+	HTTP      string        `long:"http" default:"127.0.0.1:7501" description:"HTTP address:port of switches and counts"`
+	Platform  string        `long:"platform" default:"http://127.0.0.1:7400" description:"base URL of the platform, for the VM list"`
+	Keepalive time.Duration `long:"keepalive" default:"250ms" description:"interval between checks of a balancer"`
+	Misses    int           `long:"misses" default:"4" description:"failed checks after which a balancer receives no packets"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of the choice of balancers and faulty packets"`
+	streams   Streams
+}
+
+// Execute carries packets until SIGTERM.
+func (c *standinFabricCommand) Execute([]string) error {
+	ctx, stop := untilSignal()
+	defer stop()
+	logger := newLogger(c.streams, "fabric")
+	carrier, err := fabric.New(fabric.Options{
+		Listen:    c.Listen,
+		Store:     platform.NewClient(c.Platform),
+		Keepalive: c.Keepalive,
+		Misses:    c.Misses,
+		Seed:      c.Seed,
+		Logger:    logger,
+	})
+	if err != nil {
+		return err
+	}
+	stopped := make(chan struct{})
+	go func() {
+		carrier.Run(ctx)
+		close(stopped)
+	}()
+	err = serveHTTP(ctx, c.HTTP, carrier.Handler(), logger)
+	stop()
+	<-stopped
+	return err
+}
--- /dev/null
+++ b/internal/standin/target/serve.go
@@ -0,0 +1,211 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/kumquatworks/kumquatworks/internal/standin/exchange"
+)
+
+// maxUploadBytes bounds the upload of one request.
+const maxUploadBytes = 16 << 20
+
+// serveStream answers one request or holds one feed.
+func (t *Target) serveStream(stream *quic.Stream) {
+	t.record.begin()
+	defer t.record.end()
+	reader := exchange.NewReader(stream)
+	var request exchange.Request
+	if err := exchange.ReadLine(reader, &request); err != nil || request.Upload > maxUploadBytes {
+		stream.CancelWrite(0)
+		stream.CancelRead(0)
+		return
+	}
+	if request.Service != t.options.Service {
+		t.record.add(func(r *Report) { r.WrongService++ })
+	}
+	if request.Kind == exchange.KindFeed {
+		t.serveFeed(stream, reader, request)
+		return
+	}
+	t.serveRequest(stream, reader, request)
+}
+
+func (t *Target) serveRequest(stream *quic.Stream, reader *bufio.Reader, request exchange.Request) {
+	upload := make([]byte, request.Upload)
+	if _, err := io.ReadFull(reader, upload); err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	status := t.takeSlot(stream.Context(), request)
+	if status == "" {
+		t.record.add(func(r *Report) { r.Cancelled++ })
+		return
+	}
+	if status == exchange.StatusOK {
+		t.record.run(request.ID)
+		t.work(stream.Context(), request)
+		<-t.slots
+	}
+	if t.answer(stream, request, status, upload) == nil {
+		t.record.confirm(func() { _, _ = io.Copy(io.Discard, reader) })
+	}
+}
+
+// takeSlot waits for a free slot. The result is StatusOK with a slot, another
+// status when the request must not run, or empty when the caller cancelled.
+func (t *Target) takeSlot(ctx context.Context, request exchange.Request) string {
+	if t.isLeaving() {
+		return exchange.StatusLeaving
+	}
+	select {
+	case t.slots <- struct{}{}:
+		t.record.add(func(r *Report) { r.FreeOnArrival++ })
+		return exchange.StatusOK
+	default:
+	}
+	if t.record.enqueue() > t.options.Queue {
+		t.record.dequeue()
+		t.record.add(func(r *Report) { r.Shed++ })
+		return exchange.StatusShed
+	}
+	defer t.record.dequeue()
+	return t.waitSlot(ctx, request)
+}
+
+func (t *Target) waitSlot(ctx context.Context, request exchange.Request) string {
+	var deadline <-chan time.Time
+	if request.DeadlineMS > 0 {
+		deadline = time.After(time.Duration(request.DeadlineMS) * time.Millisecond)
+	}
+	select {
+	case t.slots <- struct{}{}:
+		return exchange.StatusOK
+	case <-deadline:
+		t.record.add(func(r *Report) { r.Expired++ })
+		return exchange.StatusExpired
+	case <-ctx.Done():
+		return ""
+	}
+}
+
+func (t *Target) isLeaving() bool {
+	select {
+	case <-t.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// work occupies the slot. A cold target takes twice the time.
+func (t *Target) work(ctx context.Context, request exchange.Request) {
+	duration := time.Duration(request.WorkMS) * time.Millisecond
+	if time.Since(t.started) < t.options.Cold {
+		duration *= 2
+	}
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
+
+func (t *Target) header(request exchange.Request, status string) exchange.Header {
+	return exchange.Header{ID: request.ID, Service: t.options.Service, Target: t.options.Name, Status: status}
+}
+
+func (t *Target) answer(stream *quic.Stream, request exchange.Request, status string, upload []byte) error {
+	header := t.header(request, status)
+	var body []byte
+	if status == exchange.StatusOK {
+		body = exchange.Body(request.ID, request.Bytes)
+	}
+	header.Bytes = len(body)
+	if err := exchange.WriteLine(stream, header); err != nil {
+		return err
+	}
+	if _, err := stream.Write(body); err != nil {
+		return err
+	}
+	if err := exchange.WriteLine(stream, exchange.Trailer{ID: request.ID, Digest: exchange.Digest(upload)}); err != nil {
+		return err
+	}
+	return stream.Close()
+}
+
+// feed is one held stream. Its messages and echoes are written by two goroutines.
+type feed struct {
+	mu     sync.Mutex
+	stream *quic.Stream
+}
+
+func (f *feed) send(message exchange.Message) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return exchange.WriteLine(f.stream, message)
+}
+
+// serveFeed sends messages and echoes until the caller closes its side or the target leaves.
+func (t *Target) serveFeed(stream *quic.Stream, reader *bufio.Reader, request exchange.Request) {
+	if t.isLeaving() {
+		_ = exchange.WriteLine(stream, t.header(request, exchange.StatusLeaving))
+		_ = stream.Close()
+		return
+	}
+	t.record.add(func(r *Report) { r.FeedsOpen++ })
+	defer t.record.add(func(r *Report) { r.FeedsOpen-- })
+	if exchange.WriteLine(stream, t.header(request, exchange.StatusOK)) != nil {
+		return
+	}
+	held := &feed{stream: stream}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		echo(held, reader, request.ID)
+	}()
+	t.sendMessages(held, request, ended)
+	if held.send(exchange.Message{ID: request.ID, End: true}) != nil {
+		return
+	}
+	_ = stream.Close()
+	t.record.confirm(func() { <-ended })
+}
+
+// echo returns the caller's numbers until it closes its side.
+func echo(held *feed, reader *bufio.Reader, id string) {
+	for {
+		var message exchange.Message
+		if exchange.ReadLine(reader, &message) != nil {
+			return
+		}
+		if held.send(exchange.Message{ID: id, Echo: message.Echo}) != nil {
+			return
+		}
+	}
+}
+
+func (t *Target) sendMessages(held *feed, request exchange.Request, ended <-chan struct{}) {
+	var tick <-chan time.Time
+	if request.IntervalMS > 0 {
+		ticker := time.NewTicker(time.Duration(request.IntervalMS) * time.Millisecond)
+		defer ticker.Stop()
+		tick = ticker.C
+	}
+	for seq := uint64(1); ; seq++ {
+		select {
+		case <-tick:
+		case <-ended:
+			return
+		case <-t.leaving:
+			return
+		}
+		if held.send(exchange.Message{ID: request.ID, Seq: seq}) != nil {
+			return
+		}
+	}
+}
