--- a/internal/coordination/decision.go
+++ b/internal/coordination/decision.go
@@ -39,6 +39,8 @@
 	Cancel protocol.Endpoint
 	// StripZeroRTT asks for removal of QUIC 0-RTT packets before forwarding.
 	StripZeroRTT bool
+	// Owner reports that this balancer decided as owner of the flow.
+	Owner bool
 }
 
 // Ingress is one decoded packet with the way it arrived.
--- a/internal/coordination/handle.go
+++ b/internal/coordination/handle.go
@@ -40,17 +40,23 @@
 	if s, gone := d.serviceAt(destination); s != nil {
 		c.service, c.gone = s, gone
 		c.flow = protocol.FlowKey{Caller: p.Source, Service: p.Destination, Transport: p.Transport}
-		return d.fromCaller(&c)
+		return c.decided(d.fromCaller(&c))
 	}
 	source := state.Address{Endpoint: p.Source, Transport: p.Transport}
 	if s := d.serviceOf(source); s != nil {
 		c.service = s
 		c.flow = protocol.FlowKey{Caller: p.Destination, Service: s.Address.Endpoint, Transport: p.Transport}
-		return d.fromTarget(&c)
+		return c.decided(d.fromTarget(&c))
 	}
 	return drop(ReasonUnknownAddress)
 }
 
+// decided marks decisions taken as owner.
+func (c *packetContext) decided(d Decision) Decision {
+	d.Owner = c.shard != nil && c.isOwner()
+	return d
+}
+
 func drop(r Reason) Decision { return Decision{Action: ActionDrop, Reason: r} }
 
 func relay(m *Member, r Reason) Decision {
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -56,6 +56,8 @@
 	OnHandoff func([]state.Binding) int
 	// Core answers status and explain requests and hands over bindings on leave; nil without a data path.
 	Core coordination.Core
+	// Counters returns totals of the data path by name, which Status adds to its own; may be nil.
+	Counters func() map[string]uint64
 }
 
 const (
--- a/internal/transport/control/operator.go
+++ b/internal/transport/control/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"strings"
 	"time"
@@ -22,6 +23,9 @@
 func (s *operatorServer) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
 	p := s.plane
 	response := &wire.StatusResponse{Counters: p.counters.snapshot()}
+	if p.options.Counters != nil {
+		maps.Copy(response.Counters, p.options.Counters())
+	}
 	err := p.do(ctx, func(now time.Time) {
 		p.agent.FillStatus(now, response)
 		for name, total := range p.agent.Counters() {
--- a/internal/transport/process.go
+++ b/internal/transport/process.go
@@ -92,6 +92,7 @@
 		OnReports:  func(r []coordination.TargetReport) { b.core.SetReports(b.now(), r) },
 		OnHandoff:  func(bindings []state.Binding) int { return b.core.AcceptHandoff(b.now(), bindings) },
 		Core:       b.core,
+		Counters:   b.totals,
 	}
 }
 
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strings"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/telemetry"
@@ -66,6 +67,15 @@
 // Counters calls f for each counter of the data path.
 func (b *Balancer) Counters(f func(group, name string, value int64)) { b.stats.counters.Each(f) }
 
+// totals returns the counters of the data path under names such as forward_known_flow.
+func (b *Balancer) totals() map[string]uint64 {
+	totals := map[string]uint64{}
+	b.Counters(func(group, name string, value int64) {
+		totals[strings.ReplaceAll(group+"_"+name, "-", "_")] = uint64(value)
+	})
+	return totals
+}
+
 // Vars returns the variables of the balancer for expvar.
 func (b *Balancer) Vars() *expvar.Map {
 	vars := new(expvar.Map)
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -92,7 +92,7 @@
 	d := w.b.core.Handle(now, in)
 	reason := w.carryOut(inner, in, d)
 	if reason != "" {
-		d = coordination.Decision{Action: coordination.ActionDrop, Reason: coordination.Reason(reason)}
+		d.Action, d.Reason = coordination.ActionDrop, coordination.Reason(reason)
 	}
 	w.count(in, d)
 	if w.b.tracer.Enabled() {
@@ -192,6 +192,7 @@
 		End:    w.b.now(),
 		Action: actionNames[d.Action],
 		Reason: string(d.Reason),
+		Owner:  d.Owner,
 	}
 	if d.Action == coordination.ActionForward {
 		hop.Target = d.Endpoint
