--- a/internal/standin/caller/path_test.go
+++ b/internal/standin/caller/path_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -41,8 +39,6 @@
 	t.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	assert.NilError(t, err)
-	web := httptest.NewServer(http.NotFoundHandler())
-	t.Cleanup(web.Close)
 	t.Cleanup(func() { conn.Close() })
 	go func() {
 		buffer := make([]byte, 65536)
@@ -52,6 +48,10 @@
 			if err != nil {
 				return
 			}
+			if protocol.IsKeepalive(buffer[:n]) {
+				_, _ = conn.WriteToUDPAddrPort(buffer[:n], from)
+				continue
+			}
 			inner, _, _, _ := protocol.DecodeGRE(buffer[:n], make([]byte, 16))
 			packet, _ := decoder.Decode(inner)
 			switch {
@@ -67,8 +67,7 @@
 	}()
 	return platform.VM{
 		Name: "vm-" + conn.LocalAddr().String(), Place: "pl-a",
-		Data:    conn.LocalAddr().(*net.UDPAddr).AddrPort(),
-		Control: netip.MustParseAddrPort(web.Listener.Addr().String()),
+		Data: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
 	}
 }
 
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -58,7 +58,6 @@
 	random    *rand.Rand
 	members   map[netip.AddrPort]*member
 	live      []party
-	vms       []platform.VM
 	endpoints map[[4]byte]party
 	attached  map[netip.AddrPort]party
 	switches  Switches
@@ -114,12 +113,17 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	m := f.members[from]
+	if m != nil && protocol.IsKeepalive(datagram) {
+		f.handleKeepalive(m)
+		return
+	}
 	inner, _, relayed, err := protocol.DecodeGRE(datagram, make([]byte, protocol.RelayKeyBytes))
 	if err != nil || relayed || len(inner) < 20 {
 		f.counts.Malformed++
 		return
 	}
-	if m := f.members[from]; m != nil {
+	if m != nil {
 		f.deliver(m.party, datagram, [4]byte(inner[16:20]))
 		return
 	}
--- a/internal/standin/target/health.go
+++ b/internal/standin/target/health.go
@@ -16,11 +16,12 @@
 
 // Load is the answer of the health and load endpoint.
 type Load struct {
-	Healthy bool `json:"healthy"`
-	// LoadPermille is the busy share of the slots.
-	LoadPermille uint32 `json:"load_permille"`
-	Shedding     bool   `json:"shedding"`
-	Draining     bool   `json:"draining"`
+	Healthy         bool `json:"healthy"`
+	Draining        bool `json:"draining"`
+	Shedding        bool `json:"shedding"`
+	BusySlots       int  `json:"busy_slots"`
+	Slots           int  `json:"slots"`
+	OpenConnections int  `json:"open_connections"`
 }
 
 // Switches make the health and load endpoint lag or mislead. The zero value is truthful.
@@ -54,10 +55,12 @@
 func (h *health) currentLocked() Load {
 	t := h.target
 	return Load{
-		Healthy:      true,
-		LoadPermille: uint32(len(t.slots) * 1000 / cap(t.slots)),
-		Shedding:     t.record.waiting() >= t.options.Queue && t.options.Queue > 0,
-		Draining:     h.draining,
+		Healthy:         true,
+		Draining:        h.draining,
+		Shedding:        t.record.waiting() >= t.options.Queue && t.options.Queue > 0,
+		BusySlots:       len(t.slots),
+		Slots:           cap(t.slots),
+		OpenConnections: t.record.connections(),
 	}
 }
 
--- a/internal/transport/leave.go
+++ b/internal/transport/leave.go
@@ -14,6 +14,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	b.log(level.Info, "leave", "leaving", "flows", b.core.Flows(), "limit", limit)
+	b.leaving.Store(true)
 	err := b.plane.Leave(ctx)
 	if err != nil {
 		b.log(level.Warn, "leave", "announce and hand over", "err", err)
