--- a/internal/cli/operator_history.go
+++ b/internal/cli/operator_history.go
@@ -49,10 +49,10 @@
 		return err
 	}
 	table := tabwriter.NewWriter(c.streams.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "GENERATION\tTIME\tDIGEST\tCHANGES")
+	fmt.Fprintln(table, "GENERATION\tTIME\tOPERATOR\tDIGEST\tCHANGES")
 	for _, p := range head.Recent {
 		at := time.Unix(p.UnixSeconds, 0).UTC().Format(time.DateTime)
-		fmt.Fprintf(table, "%d\t%s\t%.12s\t%s\n", p.Generation, at, p.Digest, p.Summary)
+		fmt.Fprintf(table, "%d\t%s\t%s\t%.12s\t%s\n", p.Generation, at, p.Operator, p.Digest, p.Summary)
 	}
 	return table.Flush()
 }
--- a/internal/cli/operator_publish.go
+++ b/internal/cli/operator_publish.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"fmt"
+	"os"
+	"os/user"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +43,7 @@
 	balancerOptions
 	Yes         bool    `long:"yes" description:"publish without asking"`
 	Base        *uint64 `long:"base" value-name:"GENERATION" description:"publish only if this generation is in force, and find out about an earlier run that replaced it"`
+	Operator    string  `long:"operator" value-name:"NAME" env:"KUMQUATWORKS_OPERATOR" description:"name in the history; an operator may take back own changes without --base, but not those of others (default: user name at host name)"`
 	WaitSeconds uint    `long:"wait" value-name:"SECONDS" default:"30" description:"how long to wait until every live balancer has the configuration in force, in seconds; 0 does not wait"`
 
 	streams Streams
@@ -61,7 +64,7 @@
 	}
 	c.command = c.line("publish", c.Args.Paths)
 	return c.run(func(ctx context.Context, p *publish.Publisher, fleet publish.Fleet) (publish.Plan, error) {
-		return p.Plan(ctx, publish.Request{Set: set, Base: c.Base}, fleet)
+		return p.Plan(ctx, publish.Request{Set: set, Base: c.Base, Operator: c.operator()}, fleet)
 	})
 }
 
@@ -80,10 +83,26 @@
 	}
 	c.command = c.line("rollback", []string{c.Args.Generation})
 	return c.run(func(ctx context.Context, p *publish.Publisher, fleet publish.Fleet) (publish.Plan, error) {
-		return p.PlanRollback(ctx, generation, c.Base, fleet)
+		return p.PlanRollback(ctx, generation, publish.Request{Base: c.Base, Operator: c.operator()}, fleet)
 	})
 }
 
+// operator returns the name in the history.
+func (c *publisher) operator() string {
+	if c.Operator != "" {
+		return c.Operator
+	}
+	name := "unknown"
+	if u, err := user.Current(); err == nil {
+		name = u.Username
+	}
+	host, err := os.Hostname()
+	if err != nil {
+		return name
+	}
+	return name + "@" + host
+}
+
 type planner func(context.Context, *publish.Publisher, publish.Fleet) (publish.Plan, error)
 
 // run plans, shows, asks, writes and waits.
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -231,3 +232,13 @@
 	}
 	return b.String()
 }
+
+// Guards against an interrupt at the question that waits for an answer, or publishes.
+func TestInterruptAtQuestion(t *testing.T) {
+	in, _ := io.Pipe()
+	var out strings.Builder
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c := publisher{streams: Streams{In: in, Out: &out}}
+	assert.Error(t, c.confirm(ctx), "interrupted; nothing was published")
+}
--- a/internal/objects/head.go
+++ b/internal/objects/head.go
@@ -9,6 +9,8 @@
 	Parts int `json:"parts"`
 	// PublishID identifies the publish, so that a writer whose answer was lost can find it.
 	PublishID string `json:"publish_id"`
+	// Operator names who published; it may be empty.
+	Operator string `json:"operator,omitempty"`
 	// Summary says in words what changed; it is cut to a bounded length.
 	Summary string `json:"summary,omitempty"`
 	// UnixSeconds is the time of the publish by the operator's clock.
--- a/internal/publish/plan.go
+++ b/internal/publish/plan.go
@@ -19,6 +19,9 @@
 	// Base, unless nil, is the generation that the operator wants to replace.
 	// Without it the head in force is replaced.
 	Base *uint64
+	// Operator names who publishes. An operator may take back own changes
+	// without naming the base, but not those of others.
+	Operator string
 	// Prefix starts the summary in the history.
 	Prefix string
 }
@@ -44,7 +47,7 @@
 	revision  uint64
 	before    objects.Set
 	after     objects.Set
-	prefix    string
+	request   Request
 	retired   []objects.RetiredAddress
 }
 
@@ -67,7 +70,7 @@
 		head:      head,
 		revision:  revision,
 		after:     objects.WithDefaults(request.Set),
-		prefix:    request.Prefix,
+		request:   request,
 	}
 	plan.digest = objects.Digest(plan.canonical)
 	if request.Base != nil {
@@ -99,62 +102,12 @@
 			return unknown("the platform shows generation %d, older than generation %d that was to be replaced; it lost a head or shows an old one", plan.head.Generation, plan.Base)
 		}
 	}
-	for i, publication := range plan.head.Recent {
-		if publication.Digest != plan.digest {
-			continue
-		}
-		if i == 0 {
-			return accepted(publication, plan.head, true)
-		}
-		if based {
-			return nil // the operator named the generation to replace
-		}
-		return p.replaced(ctx, plan, publication)
+	if len(plan.head.Recent) > 0 && plan.head.Digest == plan.digest {
+		return accepted(plan.head.Recent[0], plan.head, true)
 	}
 	return nil
 }
 
-// replaced is the conflict of content that was in force before and has been
-// replaced since. Publishing it again would take back the changes made since.
-func (p *Publisher) replaced(ctx context.Context, plan Plan, publication objects.Publication) *Result {
-	r := &Result{Outcome: OutcomeConflict, Generation: plan.head.Generation}
-	r.Reasons = []string{fmt.Sprintf("this configuration was accepted as generation %d and has been replaced since; to take the later changes back, run rollback %d --base %d",
-		publication.Generation, publication.Generation, plan.head.Generation)}
-	r.Others = p.changesBetween(ctx, publication, plan.head)
-	return r
-}
-
-// maxCompared is the number of earlier snapshots that a publish without a base
-// is compared with. Each takes up to MaxParts reads.
-const maxCompared = 8
-
-// stale returns a conflict when the configuration resembles an earlier
-// generation more than the one in force. Its files were then made from that
-// generation, and publishing them would take back what was accepted since.
-func (p *Publisher) stale(ctx context.Context, plan Plan) (*Result, error) {
-	distance := len(plan.Changes)
-	for i := 1; i <= maxCompared && i <= len(plan.head.Recent); i++ {
-		var earlier objects.Publication // the empty configuration, before the first publish
-		if i < len(plan.head.Recent) {
-			earlier = plan.head.Recent[i]
-		} else if len(plan.head.Recent) == MaxRecent {
-			return nil, nil
-		}
-		set, err := loadOrEmpty(ctx, p, earlier.Head())
-		if err != nil {
-			return nil, err
-		}
-		if len(objects.Changes(set, plan.after)) >= distance {
-			continue
-		}
-		r := &Result{Outcome: OutcomeConflict, Generation: plan.head.Generation, Others: objects.Changes(set, plan.before)}
-		r.Reasons = []string{fmt.Sprintf("this configuration resembles generation %d more than generation %d in force and would take back changes made since; add them to the files, or repeat with --base %d to take them back",
-			earlier.Generation, plan.head.Generation, plan.head.Generation)}
-		return r, nil
-	}
-	return nil, nil
-}
-
 // judge tells from a head what became of a plan; nil means that it may still be written.
 func (p *Publisher) judge(ctx context.Context, plan Plan, head objects.Head) *Result {
 	for _, publication := range head.Recent {
@@ -226,7 +179,7 @@
 
 // summary describes the changes in the history, in at most summaryBytes.
 func (plan Plan) summary() string {
-	text := plan.prefix
+	text := plan.request.Prefix
 	for i, change := range plan.Changes {
 		if len(text)+len(change) > summaryBytes {
 			return text + fmt.Sprintf("and %d more", len(plan.Changes)-i)
@@ -236,8 +189,9 @@
 	return strings.TrimSuffix(text, "; ")
 }
 
-// PlanRollback plans to publish an earlier generation again.
-func (p *Publisher) PlanRollback(ctx context.Context, generation uint64, base *uint64, fleet Fleet) (Plan, error) {
+// PlanRollback plans to publish an earlier generation again. The request has
+// base and operator only.
+func (p *Publisher) PlanRollback(ctx context.Context, generation uint64, request Request, fleet Fleet) (Plan, error) {
 	head, _, err := ReadHead(ctx, p.Store)
 	if err != nil {
 		return Plan{}, err
@@ -246,15 +200,15 @@
 	if !listed {
 		return Plan{Settled: failed("generation %d is not in the history; kumquatworks history lists what is", generation)}, nil
 	}
-	set, err := Load(ctx, p.Store, publication.Head())
+	request.Set, err = Load(ctx, p.Store, publication.Head())
 	if err != nil {
 		return Plan{}, errors.Wrapf(err, "generation %d", generation)
 	}
-	if base == nil && !rolledBackBefore(head, publication) {
-		base = &head.Generation
+	if request.Base == nil && !rolledBackBefore(head, publication) {
+		request.Base = &head.Generation
 	}
-	prefix := fmt.Sprintf("rollback to generation %d: ", generation)
-	return p.Plan(ctx, Request{Set: set, Base: base, Prefix: prefix}, fleet)
+	request.Prefix = fmt.Sprintf("rollback to generation %d: ", generation)
+	return p.Plan(ctx, request, fleet)
 }
 
 // rolledBackBefore reports whether the content of a publication was published again later.
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -168,6 +168,7 @@
 		Digest:      plan.digest,
 		Parts:       len(splitParts(plan.canonical)),
 		PublishID:   plan.ID,
+		Operator:    plan.request.Operator,
 		Summary:     plan.summary(),
 		UnixSeconds: now.Unix(),
 	}
