--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -20,6 +20,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/agent"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
@@ -213,6 +215,18 @@
 	}
 }
 
+// Guards against an alarm without an entry in docs/operations.md.
+func TestOperationsPageHasEveryAlarm(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	assert.NilError(t, err)
+	for _, alarm := range []follower.Alarm{
+		follower.AlarmLowerHead, follower.AlarmDigestConflict, follower.AlarmSnapshotRefused, follower.AlarmPlatformUnreachable,
+		follower.AlarmNoConfiguration, agent.AlarmRemoved, agent.AlarmAlone,
+	} {
+		assert.Assert(t, strings.Contains(string(page), "| `"+string(alarm)+"` |"), alarm)
+	}
+}
+
 // fieldTable returns the table of a kind as the page has it.
 func fieldTable(kind objects.Kind) string {
 	var b strings.Builder
