--- a/internal/objects/fields.go
+++ b/internal/objects/fields.go
@@ -74,7 +74,7 @@
 }
 
 // Kinds lists the kinds of objects in the order of a file. The limits keep the
-// canonical JSON of the largest legal set within the parts of one snapshot.
+// canonical JSON of the largest legal set within the size of a snapshot.
 var Kinds = []Kind{
 	{Name: "place", List: "places", Max: 64, Fields: []Field{
 		{Name: "name", Type: TypeName, Required: true, Meaning: "names the failure domain; VMs use it in their settings"},
--- a/internal/objects/head.go
+++ b/internal/objects/head.go
@@ -5,7 +5,7 @@
 	Generation uint64 `json:"generation"`
 	// Digest is the lower-case hexadecimal SHA-256 of the canonical snapshot.
 	Digest string `json:"digest"`
-	// Parts is the number of values that hold the snapshot.
+	// Parts is the number of chunks that hold the snapshot.
 	Parts int `json:"parts"`
 	// PublishID identifies the publish, so that a writer whose answer was lost can find it.
 	PublishID string `json:"publish_id"`
--- a/internal/objects/objects_test.go
+++ b/internal/objects/objects_test.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// Guards against a set at the limits whose snapshot does not fit into its parts (8 MiB).
+// Guards against a set at the limits whose snapshot exceeds its largest size (8 MiB).
 func TestLargestSetFitsSnapshot(t *testing.T) {
 	bytes := 0
 	for _, kind := range Kinds {
--- a/internal/publish/fake_test.go
+++ b/internal/publish/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,10 +37,12 @@
 // fakeStore is a platform.Store in memory. next says what goes wrong in each call.
 type fakeStore struct {
 	platform.Store
+	mu       sync.Mutex // a snapshot is read by several goroutines
 	records  map[string]platform.Record
 	previous map[string]platform.Record
 	late     []lateWrite
 	heads    [][]byte
+	read     int // bytes
 	next     func() fault
 }
 
@@ -78,6 +81,8 @@
 }
 
 func (s *fakeStore) Get(ctx context.Context, key string) (platform.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if ctx.Err() != nil {
 		return platform.Record{}, ctx.Err()
 	}
@@ -85,6 +90,7 @@
 	s.applyLate()
 	switch f {
 	case faultNone, faultLate:
+		s.read += len(s.records[key].Value)
 		return s.records[key], nil
 	case faultStale:
 		return s.previous[key], nil
--- /dev/null
+++ b/internal/publish/loader.go
@@ -0,0 +1,119 @@
+package publish
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+// readsAtOnce bounds the chunks that are read at the same time. One after the
+// other, the chunks of 5,000 targets would take 15 s from a platform that needs 100 ms.
+const readsAtOnce = 8
+
+// Loader reads snapshots and keeps the chunks of the last one, because the next
+// shares most of them.
+type Loader struct {
+	store platform.Store
+
+	mu     sync.Mutex
+	chunks map[string][]byte
+}
+
+// NewLoader returns a loader without chunks.
+func NewLoader(store platform.Store) *Loader {
+	return &Loader{store: store, chunks: map[string][]byte{}}
+}
+
+// Load fetches the snapshot that a head names and verifies its digest.
+func (l *Loader) Load(ctx context.Context, head objects.Head) (objects.Set, error) {
+	data, err := l.Canonical(ctx, head.Digest, head.Parts)
+	if err != nil {
+		return objects.Set{}, err
+	}
+	return DecodeSnapshot(data, head.Digest)
+}
+
+// Canonical fetches the canonical JSON of a snapshot, without verifying its digest.
+func (l *Loader) Canonical(ctx context.Context, digest string, parts int) ([]byte, error) {
+	names, err := l.manifest(ctx, digest, parts)
+	if err != nil {
+		return nil, err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(readsAtOnce)
+	for _, name := range l.missing(names) {
+		group.Go(func() error { return l.fetch(groupCtx, name) })
+	}
+	if err := group.Wait(); err != nil {
+		return nil, errors.Wrapf(err, "snapshot %s", digest)
+	}
+	return l.assemble(digest, names)
+}
+
+func (l *Loader) manifest(ctx context.Context, digest string, parts int) ([]string, error) {
+	value, err := l.get(ctx, manifestPrefix+digest)
+	if err != nil {
+		return nil, errors.Wrapf(err, "snapshot %s", digest)
+	}
+	return decodeManifest(value, digest, parts)
+}
+
+func (l *Loader) get(ctx context.Context, key string) ([]byte, error) {
+	record, err := l.store.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if record.Revision == 0 {
+		return nil, errors.Errorf("%s is missing", key)
+	}
+	return record.Value, nil
+}
+
+func (l *Loader) missing(names []string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for _, name := range names {
+		if _, known := l.chunks[name]; !known {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+func (l *Loader) fetch(ctx context.Context, name string) error {
+	value, err := l.get(ctx, chunkPrefix+name)
+	if err != nil {
+		return err
+	}
+	if chunkName(value) != name {
+		return errors.Errorf("%s%s holds other content", chunkPrefix, name)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.chunks[name] = value
+	return nil
+}
+
+// assemble joins the chunks and forgets all others.
+func (l *Loader) assemble(digest string, names []string) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := make(map[string][]byte, len(names))
+	var data []byte
+	for _, name := range names {
+		chunk, known := l.chunks[name]
+		if !known {
+			return nil, errors.Errorf("snapshot %s: another load dropped part %s", digest, name)
+		}
+		kept[name] = chunk
+		data = append(data, chunk...)
+	}
+	l.chunks = kept
+	return data, nil
+}
--- a/internal/publish/plan.go
+++ b/internal/publish/plan.go
@@ -43,6 +43,7 @@
 
 	canonical []byte
 	digest    string
+	parts     int
 	head      objects.Head
 	revision  uint64
 	before    objects.Set
@@ -73,6 +74,7 @@
 		request:   request,
 	}
 	plan.digest = objects.Digest(plan.canonical)
+	plan.parts = len(split(plan.canonical))
 	if request.Base != nil {
 		plan.Base = *request.Base
 	}
@@ -80,7 +82,7 @@
 	if plan.Settled = p.settled(ctx, plan, request.Base != nil); plan.Settled != nil {
 		return plan, nil
 	}
-	if plan.before, err = loadOrEmpty(ctx, p, head); err != nil {
+	if plan.before, err = p.load(ctx, head); err != nil {
 		return Plan{}, err
 	}
 	plan.compare(fleet)
@@ -133,8 +135,8 @@
 // changesBetween tells what changed from a publication to a head. Where a
 // snapshot cannot be read, the summaries of the publishes stand in.
 func (p *Publisher) changesBetween(ctx context.Context, from objects.Publication, head objects.Head) []string {
-	before, errBefore := loadOrEmpty(ctx, p, from.Head())
-	after, errAfter := loadOrEmpty(ctx, p, head)
+	before, errBefore := p.load(ctx, from.Head())
+	after, errAfter := p.load(ctx, head)
 	if errBefore == nil && errAfter == nil {
 		return objects.Changes(before, after)
 	}
@@ -147,12 +149,15 @@
 	return summaries
 }
 
-// loadOrEmpty loads the snapshot of a head; generation 0 is the empty set.
-func loadOrEmpty(ctx context.Context, p *Publisher, head objects.Head) (objects.Set, error) {
+// load loads the snapshot of a head; generation 0 is the empty set.
+func (p *Publisher) load(ctx context.Context, head objects.Head) (objects.Set, error) {
 	if head.Generation == 0 {
 		return objects.Set{}, nil
 	}
-	return Load(ctx, p.Store, head)
+	if p.loader == nil {
+		p.loader = NewLoader(p.Store)
+	}
+	return p.loader.Load(ctx, head)
 }
 
 // compare fills in what the operator is shown and refuses address reuse.
@@ -164,8 +169,8 @@
 		plan.Warnings = append(plan.Warnings, fmt.Sprintf("the platform shows generation %d, the fleet holds %d: the platform lost a head or shows an old one; the differences are against generation %d",
 			plan.head.Generation, fleet.Highest(), plan.head.Generation))
 	}
-	if size := len(plan.canonical); size > MaxParts*PartBytes {
-		plan.Settled = failed("the configuration has %d bytes; at most %d fit", size, MaxParts*PartBytes)
+	if size := len(plan.canonical); size > MaxSnapshotBytes || plan.parts > MaxParts {
+		plan.Settled = failed("the configuration has %d bytes in %d parts; at most %d bytes in %d parts fit", size, plan.parts, MaxSnapshotBytes, MaxParts)
 		return
 	}
 	plan.retired = retire(plan.head.Retired, plan.before, plan.after, plan.Next, fleet)
@@ -200,7 +205,7 @@
 	if !listed {
 		return Plan{Settled: failed("generation %d is not in the history; kumquatworks history lists what is", generation)}, nil
 	}
-	request.Set, err = Load(ctx, p.Store, publication.Head())
+	request.Set, err = p.load(ctx, publication.Head())
 	if err != nil {
 		return Plan{}, errors.Wrapf(err, "generation %d", generation)
 	}
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +40,8 @@
 	Now func() time.Time
 	// Pause waits before the next attempt; an error ends the attempts.
 	Pause func(ctx context.Context, attempt int) error
+
+	loader *Loader
 }
 
 // New returns a publisher on the wall clock.
@@ -130,17 +134,43 @@
 	return *unknown("interrupted while the head was being written: %v", cause)
 }
 
-// writeSnapshot writes every part that is not there yet. Parts are named by
-// their content, so a part that exists is the same part.
+// writeSnapshot writes the chunks that the snapshot in force does not have, and
+// then the manifest. Chunks are named by their content, so one that exists is the same.
 func (p *Publisher) writeSnapshot(ctx context.Context, plan Plan) error {
-	for i, part := range splitParts(plan.canonical) {
-		if err := p.writePart(ctx, PartKey(plan.digest, i), part); err != nil {
+	stored, err := p.storedChunks(ctx, plan)
+	if err != nil {
+		return err
+	}
+	records, _ := Records(plan.canonical, plan.digest)
+	manifest := manifestPrefix + plan.digest
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		if key == manifest || stored[key] {
+			continue
+		}
+		if err := p.writePart(ctx, key, records[key]); err != nil {
 			return err
 		}
 	}
+	if err := p.writePart(ctx, manifest, records[manifest]); err != nil {
+		return err
+	}
 	return errors.WithStack(ctx.Err())
 }
 
+// storedChunks returns the keys of the chunks of the head that the plan
+// replaces. They were written before that head.
+func (p *Publisher) storedChunks(ctx context.Context, plan Plan) (map[string]bool, error) {
+	stored := map[string]bool{}
+	if plan.head.Generation == 0 {
+		return stored, nil
+	}
+	names, err := NewLoader(p.Store).manifest(ctx, plan.head.Digest, plan.head.Parts)
+	for _, name := range names {
+		stored[chunkPrefix+name] = true
+	}
+	return stored, err
+}
+
 func (p *Publisher) writePart(ctx context.Context, key string, value []byte) error {
 	var last error
 	for attempt := range partAttempts {
@@ -166,7 +196,7 @@
 	publication := objects.Publication{
 		Generation:  plan.Next,
 		Digest:      plan.digest,
-		Parts:       len(splitParts(plan.canonical)),
+		Parts:       plan.parts,
 		PublishID:   plan.ID,
 		Operator:    plan.request.Operator,
 		Summary:     plan.summary(),
@@ -181,13 +211,3 @@
 		Retired:    plan.retired,
 	}
 }
-
-// splitParts cuts canonical JSON into the values of its parts.
-func splitParts(data []byte) [][]byte {
-	var parts [][]byte
-	for len(data) > PartBytes {
-		parts = append(parts, data[:PartBytes])
-		data = data[PartBytes:]
-	}
-	return append(parts, data)
-}
--- a/internal/publish/stale.go
+++ b/internal/publish/stale.go
@@ -8,7 +8,7 @@
 )
 
 // maxCompared is the number of earlier publishes that a publish without a base
-// is compared with. Reading each takes up to MaxParts calls.
+// is compared with. Each is read and compared.
 const maxCompared = 8
 
 // stale returns a conflict when the configuration lacks what another operator
@@ -24,7 +24,7 @@
 		} else if len(recent) == MaxRecent {
 			return nil, nil
 		}
-		before, err := loadOrEmpty(ctx, p, earlier.Head())
+		before, err := p.load(ctx, earlier.Head())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/transport/control/commands.go
+++ b/internal/transport/control/commands.go
@@ -111,7 +111,7 @@
 func (p *Plane) load(ctx context.Context, c follower.Command) follower.Result {
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	raw, err := publish.LoadCanonical(call, p.options.Store, c.Head.Digest, c.Parts)
+	raw, err := p.loader.Canonical(call, c.Head.Digest, c.Parts)
 	return follower.Result{Command: c, Err: err, Snapshot: raw}
 }
 
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
@@ -78,6 +79,7 @@
 	tcp      net.Listener
 	peers    *authClient
 	targets  *http.Client
+	loader   *publish.Loader
 	requests chan func()
 	probes   chan received
 	done     chan struct{} // closed when the loop ends
@@ -112,6 +114,7 @@
 	}
 	p.peers = newPeerClient(o.FleetKey, p.counters)
 	p.targets = newTargetClient(p.counters)
+	p.loader = publish.NewLoader(o.Store)
 	now := time.Now()
 	identity := membership.Config{
 		VM: o.VM, Place: o.Place, Data: o.Data, Control: p.options.Control, Seeds: o.Seeds, Seed: o.Seed,
