--- a/internal/cli/operator_report.go
+++ b/internal/cli/operator_report.go
@@ -185,9 +185,9 @@
 	if answer == nil {
 		return
 	}
-	p.PlatformReachable = p.PlatformReachable || answer.PlatformReachable
+	// The newest figure counts: balancers that are not readers asked long ago.
 	if age := answer.PlatformAgeSeconds; age >= 0 && (p.PlatformAge < 0 || age < p.PlatformAge) {
-		p.PlatformAge = age
+		p.PlatformAge, p.PlatformReachable = age, answer.PlatformReachable
 	}
 }
 
