--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -204,7 +204,7 @@
 			VM:         m.Vm,
 			Live:       live(m),
 			Generation: m.Generation,
-			GoneFor:    time.Duration(m.GoneSeconds * float64(time.Second)),
+			HeardAgo:   time.Duration(m.HeardAgeSeconds * float64(time.Second)),
 		})
 	}
 	fleet.VMs, err = store.VMs(ctx)
--- a/internal/cli/operator_print.go
+++ b/internal/cli/operator_print.go
@@ -63,17 +63,13 @@
 	if len(list) == 0 {
 		return
 	}
-	table := newTable(b, "\nVM\tPLACE\tSTATE\tGENERATION\tNOTE")
+	table := newTable(b, "\nVM\tPLACE\tSTATE\tGENERATION\tLAST HEARD\tPROBLEM")
 	for i, vm := range list {
 		if i == maxListed {
 			fmt.Fprintf(table, "and %d more\n", len(list)-i)
 			break
 		}
-		note := vm.Problem
-		if vm.GoneSeconds > 0 {
-			note = "gone since " + ago(vm.GoneSeconds)
-		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", vm.VM, vm.Place, vm.State, vm.Generation, note)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\n", vm.VM, vm.Place, vm.State, vm.Generation, ago(vm.HeardAge), vm.Problem)
 	}
 	_ = table.Flush() // writes to memory
 }
--- a/internal/cli/operator_report.go
+++ b/internal/cli/operator_report.go
@@ -51,9 +51,9 @@
 	Generation uint64 `json:"generation"`
 	Control    string `json:"control"`
 	// Answered tells that the figures are from the balancer itself; otherwise others told them.
-	Answered    bool    `json:"answered"`
-	Problem     string  `json:"problem,omitempty"`
-	GoneSeconds float64 `json:"gone_seconds,omitempty"`
+	Answered bool    `json:"answered"`
+	Problem  string  `json:"problem,omitempty"`
+	HeardAge float64 `json:"heard_age_seconds"`
 }
 
 type poolReport struct {
@@ -118,7 +118,7 @@
 }
 
 func (r *fleetReport) addVM(m *wire.Member, answer *wire.StatusResponse, failure error) {
-	vm := vmReport{VM: m.Vm, Place: m.Place, State: stateName(m.State), Generation: m.Generation, Control: m.Control, GoneSeconds: m.GoneSeconds}
+	vm := vmReport{VM: m.Vm, Place: m.Place, State: stateName(m.State), Generation: m.Generation, Control: m.Control, HeardAge: m.HeardAgeSeconds}
 	if answer != nil {
 		vm.Generation, vm.Answered = answer.Generation, true
 	}
--- a/internal/coordination/agent/status.go
+++ b/internal/coordination/agent/status.go
@@ -28,9 +28,6 @@
 	s.Generation = head.Generation
 	s.Digest = head.Digest
 	s.Members = a.members.Members()
-	for _, m := range s.Members {
-		m.GoneSeconds = a.members.GoneFor(now, m.Vm).Seconds()
-	}
 	reachable, answered := a.follower.Platform()
 	s.PlatformReachable = reachable
 	s.PlatformAgeSeconds = -1
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -161,15 +161,6 @@
 	return list
 }
 
-// GoneFor returns how long a member has been dead or left, or 0.
-func (m *Machine) GoneFor(now time.Time, vm string) time.Duration {
-	x := m.members[vm]
-	if x == nil || x.live() {
-		return 0
-	}
-	return now.Sub(x.changed)
-}
-
 // Control returns the control address of a live member other than this balancer.
 func (m *Machine) Control(vm string) (netip.AddrPort, bool) {
 	x := m.members[vm]
--- a/internal/publish/fleet.go
+++ b/internal/publish/fleet.go
@@ -20,8 +20,8 @@
 	Live bool
 	// Generation is the highest generation that the member acknowledged.
 	Generation uint64
-	// GoneFor is the time since a member that is not live was found gone.
-	GoneFor time.Duration
+	// HeardAgo is the time since the member was last heard of.
+	HeardAgo time.Duration
 }
 
 // Fleet is what one balancer and the VM list tell about the balancers.
@@ -71,8 +71,8 @@
 		return []string{fmt.Sprintf("balancer %s has generation %d in force; wait until it reports %d, normally within 5 s", m.VM, m.Generation, generation)}
 	case listed:
 		return []string{fmt.Sprintf("balancer %s is not reachable with generation %d and still on the VM list; wait until it comes back or leaves the VM list, and then %s", m.VM, m.Generation, StalenessBound)}
-	case m.GoneFor < StalenessBound:
-		return []string{fmt.Sprintf("balancer %s left with generation %d; wait %s more", m.VM, m.Generation, (StalenessBound - m.GoneFor).Round(time.Second))}
+	case m.HeardAgo < StalenessBound:
+		return []string{fmt.Sprintf("balancer %s left with generation %d; wait %s more", m.VM, m.Generation, (StalenessBound - m.HeardAgo).Round(time.Second))}
 	}
 	return nil
 }
