--- a/internal/publish/layout.go
+++ b/internal/publish/layout.go
@@ -3,6 +3,7 @@
 package publish
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 
@@ -54,14 +55,17 @@
 	return NewLoader(store).Load(ctx, head)
 }
 
-// DecodeSnapshot verifies canonical JSON against its digest and decodes it.
+// DecodeSnapshot verifies canonical JSON against its digest and decodes it. It
+// refuses unknown fields, because publishing the set again would drop them.
 func DecodeSnapshot(data []byte, digest string) (objects.Set, error) {
 	if got := objects.Digest(data); got != digest {
 		return objects.Set{}, errors.Errorf("snapshot %s: content has digest %s", digest, got)
 	}
 	var set objects.Set
-	if err := json.Unmarshal(data, &set); err != nil {
-		return objects.Set{}, errors.Wrapf(err, "snapshot %s", digest)
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&set); err != nil {
+		return objects.Set{}, errors.Wrapf(err, "snapshot %s, perhaps of another version of this program", digest)
 	}
 	return set, nil
 }
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -208,6 +208,13 @@
 	}
 }
 
+// Guards against a rollback that drops fields which this version does not know.
+func TestSnapshotOfNewerVersionIsRefused(t *testing.T) {
+	data := []byte(`{"places":[{"name":"a","region":"r"}]}`)
+	_, err := DecodeSnapshot(data, objects.Digest(data))
+	assert.ErrorContains(t, err, `unknown field "region"`)
+}
+
 // Guards against a generation at or below the one in force, which no balancer
 // would adopt, after the platform lost its records.
 func TestPublishAfterPlatformLoss(t *testing.T) {
