--- a/internal/coordination/agent/status.go
+++ b/internal/coordination/agent/status.go
@@ -27,7 +27,7 @@
 	s.Place = a.cfg.Membership.Place
 	s.Generation = head.Generation
 	s.Digest = head.Digest
-	s.Members = a.members.Members()
+	s.Members = a.members.StatusMembers(now)
 	reachable, answered := a.follower.Platform()
 	s.PlatformReachable = reachable
 	s.PlatformAgeSeconds = -1
--- a/internal/coordination/gossip/gossip.go
+++ b/internal/coordination/gossip/gossip.go
@@ -39,9 +39,13 @@
 }
 
 // Put adds or replaces the update for key.
-func (q *Queue[T]) Put(key string, value T) {
+func (q *Queue[T]) Put(key string, value T) { q.PutSent(key, value, 0) }
+
+// PutSent is Put for an update of less value, which counts as sent some times
+// already: it goes after others and is sent less often.
+func (q *Queue[T]) PutSent(key string, value T, sends int) {
 	q.order++
-	q.entries[key] = &entry[T]{key: key, value: value, size: proto.Size(value) + 2, order: q.order}
+	q.entries[key] = &entry[T]{key: key, value: value, size: proto.Size(value) + 2, sends: sends, order: q.order}
 }
 
 // Len returns the number of updates still to be passed on.
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -28,6 +28,8 @@
 	ProbersPerTarget int
 	// Interval is the time between two probes of a target by one balancer.
 	Interval time.Duration
+	// ChecksPerSecond bounds the probes of one balancer; with many targets the interval grows.
+	ChecksPerSecond float64
 	// RetryInterval is the same after a result that differs from the report.
 	RetryInterval time.Duration
 	// FailuresToUnhealthy and SuccessesToHealthy are the results in a row that change the report.
@@ -49,22 +51,29 @@
 	defaultRetryInterval       = 500 * time.Millisecond
 	defaultFailuresToUnhealthy = 3
 	defaultSuccessesToHealthy  = 2
-	defaultLoadBound           = 30 * time.Second
+	defaultLoadBound           = 90 * time.Second
 	defaultReportBound         = 10 * time.Second
-	defaultLoadUpdates         = 4
+	// One probe takes about 250 bytes. At the design scale of 12.5 targets per
+	// balancer and prober this gives 5 s, so that two probers see a drain within 2.5 s.
+	defaultChecksPerSecond = 2.5
+	// One update costs each member about 300 bytes, sent and received.
+	defaultLoadUpdates = 0.5
 )
 
 // A load change below loadStep is not reported. Lower loads than loadFloor
-// change no weight, so they all count as 0.
+// change no weight, so they all count as 0. With few slots a single sample
+// says little, so loads are smoothed by loadShare per sample.
 const (
 	loadStep  = 150
 	loadFloor = 500
+	loadShare = 0.25
 )
 
 func (c *Config) setDefaults() {
 	c.FirstVersion = cmp.Or(c.FirstVersion, 1)
 	c.ProbersPerTarget = cmp.Or(c.ProbersPerTarget, defaultProbersPerTarget)
 	c.Interval = cmp.Or(c.Interval, defaultInterval)
+	c.ChecksPerSecond = cmp.Or(c.ChecksPerSecond, defaultChecksPerSecond)
 	c.RetryInterval = cmp.Or(c.RetryInterval, defaultRetryInterval)
 	c.FailuresToUnhealthy = cmp.Or(c.FailuresToUnhealthy, defaultFailuresToUnhealthy)
 	c.SuccessesToHealthy = cmp.Or(c.SuccessesToHealthy, defaultSuccessesToHealthy)
--- a/internal/coordination/health/probing.go
+++ b/internal/coordination/health/probing.go
@@ -12,7 +12,9 @@
 	next      time.Time
 	failures  int
 	successes int
-	calm      int // results in a row without drain and shedding
+	calm      int     // results in a row without drain and shedding
+	load      float64 // smoothed busy share of the slots, in permille
+	sampled   bool    // load holds a sample
 }
 
 // Tick returns the probes that are due.
@@ -33,12 +35,13 @@
 // nextProbe places the probes of the two probers of a target half an interval
 // apart, by wall clock.
 func (m *Machine) nextProbe(now time.Time, p *probing) time.Time {
-	interval := int64(m.cfg.Interval)
+	spread := time.Duration(float64(len(m.duties)) / m.cfg.ChecksPerSecond * float64(time.Second))
+	interval := int64(max(m.cfg.Interval, spread))
 	offset := interval * int64(p.rank) / int64(m.cfg.ProbersPerTarget)
 	passed := (now.UnixNano() - offset) % interval
 	wait := time.Duration(interval - passed)
-	if wait < m.cfg.Interval/4 {
-		wait += m.cfg.Interval
+	if wait < time.Duration(interval)/4 {
+		wait += time.Duration(interval)
 	}
 	return now.Add(wait)
 }
@@ -60,6 +63,7 @@
 	}
 	p := t.own
 	good := r.OK && r.Healthy
+	p.sample(r)
 	p.count(good, r.OK && !r.Draining && !r.Shedding)
 	before := t.reports[m.cfg.VM]
 	next := m.judge(p, before, r, good)
@@ -101,7 +105,7 @@
 		if !good && p.failures < m.cfg.FailuresToUnhealthy {
 			return nil
 		}
-		next.LoadPermille = load(r)
+		next.LoadPermille = p.reportedLoad()
 		return next
 	}
 	next.Healthy = before.Healthy
@@ -116,23 +120,30 @@
 		next.Draining = r.Draining || before.Draining
 		next.Shedding = r.Shedding || before.Shedding
 	}
-	next.LoadPermille = before.LoadPermille
-	if r.OK {
-		next.LoadPermille = load(r)
-	}
+	next.LoadPermille = p.reportedLoad()
 	return next
 }
 
-// load returns the busy share of the slots, in permille, with low shares as 0.
-func load(r Result) uint32 {
-	if r.Slots <= 0 || r.BusySlots <= 0 {
-		return 0
+// sample smooths the busy share of the slots.
+func (p *probing) sample(r Result) {
+	if !r.OK || r.Slots <= 0 {
+		return
+	}
+	permille := float64(min(1000, max(0, r.BusySlots)*1000/r.Slots))
+	if !p.sampled {
+		p.load, p.sampled = permille, true
+		return
 	}
-	permille := uint32(min(1000, r.BusySlots*1000/r.Slots))
-	if permille < loadFloor {
+	p.load += loadShare * (permille - p.load)
+}
+
+// reportedLoad returns the load for a report, with low loads as 0. The first
+// prober of a target alone reports it, which halves the updates.
+func (p *probing) reportedLoad() uint32 {
+	if p.rank > 0 || p.load < loadFloor {
 		return 0
 	}
-	return permille
+	return uint32(p.load)
 }
 
 // isNews reports whether a report is passed on. Health, drain and shedding
@@ -145,6 +156,9 @@
 		return true
 	}
 	change := int(next.LoadPermille) - int(before.LoadPermille)
+	if change == 0 && next.LoadPermille == 0 {
+		return false
+	}
 	old := next.LoadPermille > 0 && now.Sub(before.received) > m.cfg.LoadBound/2
 	if change < loadStep && -change < loadStep && !old {
 		return false
--- a/internal/coordination/health/reports.go
+++ b/internal/coordination/health/reports.go
@@ -34,11 +34,16 @@
 // store keeps a report and queues it for others.
 func (m *Machine) store(now time.Time, t *target, u *wire.TargetHealth) {
 	before := t.reports[u.Prober]
-	m.urgent = m.urgent || isUrgent(before, u)
+	urgent := isUrgent(before, u)
+	m.urgent = m.urgent || urgent
 	r := &report{TargetHealth: u, received: now}
 	r.setVouched(now, slices.Contains(t.probers, u.Prober))
 	t.reports[u.Prober] = r
-	m.queue.Put(u.Target+"/"+u.Prober, u)
+	sends := 0
+	if !urgent {
+		sends = gossip.SendLimit(m.members) / 2
+	}
+	m.queue.PutSent(u.Target+"/"+u.Prober, u, sends)
 	m.changed = true
 }
 
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -54,6 +54,7 @@
 
 	lastTick time.Time
 	lastSlot int64
+	shift    int64 // added to the slots of the own clock to follow other balancers
 	urgent   bool
 	suspects map[string]*member
 	pushTo   map[string]bool // members that must hear of an update about themselves
@@ -161,6 +162,17 @@
 	return list
 }
 
+// StatusMembers returns Members with the time since this balancer last heard of each.
+func (m *Machine) StatusMembers(now time.Time) []*wire.Member {
+	list := m.Members()
+	for _, u := range list {
+		if x := m.members[u.Vm]; x != nil {
+			u.HeardAgeSeconds = now.Sub(x.heard).Seconds()
+		}
+	}
+	return list
+}
+
 // Control returns the control address of a live member other than this balancer.
 func (m *Machine) Control(vm string) (netip.AddrPort, bool) {
 	x := m.members[vm]
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -30,6 +30,7 @@
 	generation  uint64
 
 	changed  time.Time // when state changed
+	heard    time.Time // last message from it or news about it
 	deadline time.Time // end of the suspicion
 
 	listed       bool      // the last VM list has it
--- a/internal/coordination/membership/probing.go
+++ b/internal/coordination/membership/probing.go
@@ -31,13 +31,14 @@
 	return append(out, m.pushUrgent()...)
 }
 
-// slot numbers the probe intervals by wall clock, so that balancers whose
-// clocks agree probe different members. The phase spreads the packets.
+// slot numbers the probe intervals by wall clock, corrected to follow the
+// others, so that balancers probe different members at a time. The phase
+// spreads the packets.
 func (m *Machine) slot(now time.Time) int64 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(m.self.vm))
 	phase := int64(h.Sum32()) % int64(m.cfg.ProbeInterval)
-	return (now.UnixNano() + phase) / int64(m.cfg.ProbeInterval)
+	return (now.UnixNano()+phase)/int64(m.cfg.ProbeInterval) + m.shift
 }
 
 // checkFreeze drops what timed out only because this balancer did not run.
@@ -135,7 +136,19 @@
 func (m *Machine) ping(now time.Time, x *member) Outgoing {
 	m.sequence++
 	m.pending[m.sequence] = &pending{vm: x.vm, sent: now}
-	return m.message(x.control, kindPing, m.sequence, x)
+	out := m.message(x.control, kindPing, m.sequence, x)
+	out.Probe.Slot = uint32(uint16(m.lastSlot))
+	return out
+}
+
+// followSlot moves the own slots forward to those of a balancer that is ahead.
+// Phases make up to one slot of difference; following that would let the
+// slots of all balancers run away.
+func (m *Machine) followSlot(p *wire.Probe) {
+	ahead := int16(uint16(p.Slot) - uint16(m.lastSlot))
+	if p.Slot > 0 && ahead > 1 {
+		m.shift += int64(ahead) - 1
+	}
 }
 
 // heal probes one address where no live member is known: a dead member, a
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -16,12 +16,14 @@
 	}
 	m.Merge(now, p.Updates)
 	sender := m.members[p.Source]
-	if sender != nil && p.Head != nil {
-		sender.generation = p.Head.Generation
+	if sender != nil {
+		sender.heard = now
+		sender.generation = p.GetHead().GetGeneration()
 	}
 	m.revoke(now, sender)
 	switch p.Kind {
 	case kindPing:
+		m.followSlot(p)
 		return []Outgoing{m.ack(from, p, sender)}
 	case kindIndirect:
 		return m.relayPing(now, from, p)
--- a/internal/coordination/membership/updates.go
+++ b/internal/coordination/membership/updates.go
@@ -30,6 +30,9 @@
 	if u.Incarnation < x.incarnation {
 		return
 	}
+	if severity(u.State) == 0 {
+		x.heard = now
+	}
 	newer := u.Incarnation > x.incarnation
 	m.applyGeneration(x, u, newer)
 	if newer {
@@ -48,7 +51,7 @@
 // add creates a member that was unknown. Without addresses, or dead or left,
 // there is nothing to keep.
 func (m *Machine) add(now time.Time, u *wire.Member) {
-	x := &member{vm: u.Vm, incarnation: u.Incarnation, generation: u.Generation, changed: now}
+	x := &member{vm: u.Vm, incarnation: u.Incarnation, generation: u.Generation, changed: now, heard: now}
 	if !x.setIdentity(u) || severity(u.State) >= severity(dead) {
 		return
 	}
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -43,7 +43,7 @@
 	Seed     uint64
 
 	// Validate reports why a snapshot cannot be put in force; nil accepts what
-	// state.NewTable accepts.
+	// objects.Check and state.NewTable accept.
 	Validate func(objects.Set) error
 
 	// OnView is called when the set of live members changes.
@@ -138,6 +138,9 @@
 	if o.Validate != nil {
 		return o.Validate(set)
 	}
+	if faults := objects.Check(set); len(faults) > 0 {
+		return faults[0]
+	}
 	_, err := state.NewTable(1, "", set)
 	return err
 }
