--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -19,6 +20,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/agent"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
@@ -212,6 +215,18 @@
 	}
 }
 
+// Guards against an alarm without an entry in docs/operations.md.
+func TestOperationsPageHasEveryAlarm(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	assert.NilError(t, err)
+	for _, alarm := range []follower.Alarm{
+		follower.AlarmLowerHead, follower.AlarmDigestConflict, follower.AlarmSnapshotRefused, follower.AlarmPlatformUnreachable,
+		follower.AlarmNoConfiguration, agent.AlarmRemoved, agent.AlarmAlone,
+	} {
+		assert.Assert(t, strings.Contains(string(page), "| `"+string(alarm)+"` |"), alarm)
+	}
+}
+
 // fieldTable returns the table of a kind as the page has it.
 func fieldTable(kind objects.Kind) string {
 	var b strings.Builder
@@ -231,3 +246,13 @@
 	}
 	return b.String()
 }
+
+// Guards against an interrupt at the question that waits for an answer, or publishes.
+func TestInterruptAtQuestion(t *testing.T) {
+	in, _ := io.Pipe()
+	var out strings.Builder
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c := publisher{streams: Streams{In: in, Out: &out}}
+	assert.Error(t, c.confirm(ctx), "interrupted; nothing was published")
+}
--- a/internal/coordination/agent/status.go
+++ b/internal/coordination/agent/status.go
@@ -27,10 +27,7 @@
 	s.Place = a.cfg.Membership.Place
 	s.Generation = head.Generation
 	s.Digest = head.Digest
-	s.Members = a.members.Members()
-	for _, m := range s.Members {
-		m.GoneSeconds = a.members.GoneFor(now, m.Vm).Seconds()
-	}
+	s.Members = a.members.StatusMembers(now)
 	reachable, answered := a.follower.Platform()
 	s.PlatformReachable = reachable
 	s.PlatformAgeSeconds = -1
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
@@ -43,7 +44,7 @@
 	Seed     uint64
 
 	// Validate reports why a snapshot cannot be put in force; nil accepts what
-	// state.NewTable accepts.
+	// objects.Check and state.NewTable accept.
 	Validate func(objects.Set) error
 
 	// OnView is called when the set of live members changes.
@@ -80,6 +81,7 @@
 	tcp      net.Listener
 	peers    *authClient
 	targets  *http.Client
+	loader   *publish.Loader
 	requests chan func()
 	probes   chan received
 	done     chan struct{} // closed when the loop ends
@@ -114,6 +116,7 @@
 	}
 	p.peers = newPeerClient(o.FleetKey, p.counters)
 	p.targets = newTargetClient(p.counters)
+	p.loader = publish.NewLoader(o.Store)
 	now := time.Now()
 	identity := membership.Config{
 		VM: o.VM, Place: o.Place, Data: o.Data, Control: p.options.Control, Seeds: o.Seeds, Seed: o.Seed,
@@ -140,6 +143,9 @@
 	if o.Validate != nil {
 		return o.Validate(set)
 	}
+	if faults := objects.Check(set); len(faults) > 0 {
+		return faults[0]
+	}
 	_, err := state.NewTable(1, "", set)
 	return err
 }
