Kill each pair of balancers in the broken-flows measure

Killing two fixed balancers showed 0 broken flows for every variant, because neither owned the service.

--- a/internal/experiment/broken.go
+++ b/internal/experiment/broken.go
@@ -16,6 +16,8 @@
 	IdleShare float64
 	// Schedule names the changes and failures; see Schedules.
 	Schedule string
+	// Kill lists balancers, by number, that die at once at the first change.
+	Kill []int
 }
 
 // BrokenResult is what one run of the broken-flows measure saw.
@@ -63,7 +65,6 @@
 	"weight":    {{0, weighOne}},
 	"two":       {{0, leaveOne}, {100 * time.Millisecond, drainOne}},
 	"kill-one":  {{0, killFirst}},
-	"kill-two":  {{0, killFirst}, {0, killSecond}},
 	"kill-busy": {{0, killBusiest}},
 	"mixed": {
 		{0, drainOne}, {2 * time.Second, leaveOne}, {6 * time.Second, joinOne}, {10 * time.Second, addTwo},
@@ -74,7 +75,7 @@
 
 // ScheduleNames lists the schedules in the order of the tables.
 var ScheduleNames = []string{
-	"none", "leave", "join", "replace", "drain", "add", "weight", "two", "kill-one", "kill-busy", "kill-two", "mixed",
+	"none", "leave", "join", "replace", "drain", "add", "weight", "two", "kill-one", "kill-busy", "mixed",
 }
 
 func leaveOne(n *network) error {
@@ -92,11 +93,6 @@
 	return nil
 }
 
-func killSecond(n *network) error {
-	n.kill(n.liveBalancer(0))
-	return nil
-}
-
 func killBusiest(n *network) error {
 	n.kill(n.busiestDecider())
 	return nil
@@ -149,6 +145,9 @@
 			feeds = append(feeds, n.startFeed(serviceName, interval, idle))
 		})
 	}
+	for _, i := range o.Kill {
+		n.after(firstChange, func() { n.kill(n.balancers[i]) })
+	}
 	last := time.Duration(0)
 	var failure error
 	for _, c := range Schedules[o.Schedule] {
@@ -191,3 +190,22 @@
 	}
 	return 0
 }
+
+// BrokenWorstPair kills each pair of balancers at once, in runs of their own,
+// and returns the run with most broken flows.
+func BrokenWorstPair(o BrokenOptions) (BrokenResult, error) {
+	var worst BrokenResult
+	for first := range o.Balancers {
+		for second := first + 1; second < o.Balancers; second++ {
+			o.Kill = []int{first, second}
+			r, err := Broken(o)
+			if err != nil {
+				return BrokenResult{}, err
+			}
+			if first+second == 1 || r.PerTenThousand() > worst.PerTenThousand() {
+				worst = r
+			}
+		}
+	}
+	return worst, nil
+}
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -23,15 +23,23 @@
 	return t
 }
 
+// worstPair names the row in which each pair of balancers dies, in runs of their own.
+const worstPair = "kill-two"
+
 // PrintBroken runs the broken-flows measure for each variant and prints one table.
 func PrintBroken(w io.Writer, seed uint64, flows int, protocol objects.Protocol) error {
 	t := newTable(w, "variant\tschedule\tbroken per 10,000\tactive broken\tidle broken\tnot opened\tcrossings\thandoff bytes")
 	for _, v := range Variants {
-		for _, s := range ScheduleNames {
-			r, err := Broken(BrokenOptions{
+		for _, s := range append(ScheduleNames, worstPair) {
+			o := BrokenOptions{
 				Options:  Options{Variant: v, Balancers: defaultBalancers, Seed: seed},
 				Protocol: protocol, Preference: objects.PreferenceAffinity, Flows: flows, IdleShare: 0.25, Schedule: s,
-			})
+			}
+			run := Broken
+			if s == worstPair {
+				run = BrokenWorstPair
+			}
+			r, err := run(o)
 			if err != nil {
 				return err
 			}
