Do not take a handshake datagram of a caller for an opener

quic-go acknowledges the Initial of the server together with its Handshake packets, and already to another connection ID of the server. An Initial with Handshake or short-header packets in one datagram is now a handshake packet, and a different connection ID no longer contradicts a tentative binding.

--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -104,13 +104,11 @@
 		e.Strength = state.StrengthConfirmed
 		return true
 	}
-	if p.Kind == protocol.KindData {
-		return true // the caller may use another connection id after the handshake
-	}
-	if p.Tag != e.AnswerTag {
-		return false
+	// A caller may use another connection ID of the target from its last
+	// handshake flight on, so that a different tag does not contradict.
+	if p.Tag == e.AnswerTag {
+		e.Strength = state.StrengthConfirmed
 	}
-	e.Strength = state.StrengthConfirmed
 	return true
 }
 
--- a/internal/protocol/decode.go
+++ b/internal/protocol/decode.go
@@ -103,6 +103,7 @@
 	case t.SYN && t.ACK:
 		p.Kind = KindOpenerAnswer
 		p.Tag = t.Seq + 1
+		p.SourceTag = t.Ack - 1
 	case t.SYN:
 		p.Kind = KindOpener
 		p.Tag, p.HasTag = t.Seq, true
--- /dev/null
+++ b/internal/protocol/handshake_test.go
@@ -0,0 +1,103 @@
+package protocol
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"gotest.tools/v3/assert"
+)
+
+// recorder is a packet connection that decodes what it reads and writes.
+type recorder struct {
+	net.PacketConn
+	mu   sync.Mutex
+	seen []Packet
+	out  []bool
+}
+
+func (r *recorder) record(payload []byte, out bool) {
+	p, err := NewDecoder().Decode(BuildUDP(caller, service, payload))
+	if err != nil {
+		panic(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, p)
+	r.out = append(r.out, out)
+}
+
+func (r *recorder) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, addr, err := r.PacketConn.ReadFrom(p)
+	if err == nil {
+		r.record(p[:n], false)
+	}
+	return n, addr, err
+}
+
+func (r *recorder) WriteTo(p []byte, addr net.Addr) (int, error) {
+	r.record(p, true)
+	return r.PacketConn.WriteTo(p, addr)
+}
+
+func selfSigned(t *testing.T) *tls.Config {
+	public, private, err := ed25519.GenerateKey(nil)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"x"}}
+	der, err := x509.CreateCertificate(nil, template, template, public, private)
+	assert.NilError(t, err)
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: private}}, NextProtos: []string{"x"}}
+}
+
+// Guards against a handshake datagram of a caller that counts as the opener of
+// another connection. quic-go acknowledges the Initial of the server in a datagram
+// that already goes to another connection ID of the server.
+func TestQUICHandshakeTags(t *testing.T) {
+	for _, version := range []quic.Version{quic.Version1, quic.Version2} {
+		server, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer server.Close()
+		config := &quic.Config{Versions: []quic.Version{version}}
+		listener, err := quic.Listen(server, selfSigned(t), config)
+		assert.NilError(t, err)
+		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer socket.Close()
+		r := &recorder{PacketConn: socket}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		conn, err := quic.Dial(ctx, r, server.LocalAddr(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"x"}}, config)
+		assert.NilError(t, err)
+		accepted, err := listener.Accept(ctx)
+		assert.NilError(t, err)
+		<-conn.HandshakeComplete()
+		assert.NilError(t, accepted.CloseWithError(0, ""))
+		<-conn.Context().Done()
+		r.check(t)
+	}
+}
+
+func (r *recorder) check(t *testing.T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	openerTag, answerTag := r.seen[0].Tag, uint32(0)
+	for i, p := range r.seen {
+		long := p.Kind == KindOpener || p.Kind == KindHandshake
+		switch {
+		case r.out[i] && p.Kind == KindOpener:
+			assert.Assert(t, p.HasTag && (p.Tag == openerTag || p.Tag == answerTag), "opener with tag %08x", p.Tag)
+		case !r.out[i] && long && answerTag == 0:
+			answerTag = p.SourceTag
+		case !r.out[i] && long:
+			assert.Equal(t, p.SourceTag, answerTag)
+		}
+	}
+	assert.Assert(t, answerTag != 0)
+}
--- a/internal/protocol/packet.go
+++ b/internal/protocol/packet.go
@@ -67,11 +67,12 @@
 const (
 	// KindData is any packet that has no other kind, including a QUIC short-header packet.
 	KindData Kind = iota
-	// KindOpener is a TCP SYN without ACK or a QUIC Initial.
+	// KindOpener is a TCP SYN without ACK, or a QUIC datagram with an Initial and
+	// without Handshake or short-header packets.
 	KindOpener
 	// KindOpenerAnswer is a TCP SYN-ACK.
 	KindOpenerAnswer
-	// KindHandshake is a QUIC long-header packet other than an Initial.
+	// KindHandshake is any other datagram that begins with a QUIC long-header packet.
 	KindHandshake
 	// KindFin is a TCP segment with FIN.
 	KindFin
--- a/internal/protocol/quic.go
+++ b/internal/protocol/quic.go
@@ -112,26 +112,29 @@
 	return value, size
 }
 
-// classifyQUIC fills kind, tags and ZeroRTT from a UDP payload. A datagram with
-// an Initial is an opener, wherever the Initial stands in it.
+// classifyQUIC fills kind, tags and ZeroRTT from a UDP payload. A datagram is an
+// opener when it has an Initial and nothing that needs keys of a later stage:
+// callers acknowledge the target's Initial together with Handshake packets, and
+// some use another connection ID of the target by then.
 func classifyQUIC(p *Packet, payload []byte) {
 	first, ok := parseQUIC(payload)
 	if !ok {
 		classifyShort(p, payload)
 		return
 	}
-	p.Kind = KindHandshake
 	p.Tag, p.HasTag = tag(first.destination)
 	p.SourceTag, _ = tag(first.source)
-	for ok {
-		if first.kind == quicInitial {
-			p.Kind = KindOpener
-		}
-		if first.kind == quicZeroRTT {
-			p.ZeroRTT = true
-		}
-		payload = payload[first.length:]
-		first, ok = parseQUIC(payload)
+	initial, later := false, false
+	for next := first; ok; next, ok = parseQUIC(payload) {
+		initial = initial || next.kind == quicInitial
+		later = later || next.kind == quicHandshake
+		p.ZeroRTT = p.ZeroRTT || next.kind == quicZeroRTT
+		payload = payload[next.length:]
+	}
+	later = later || isShort(payload)
+	p.Kind = KindHandshake
+	if initial && !later {
+		p.Kind = KindOpener
 	}
 }
 
@@ -140,12 +143,17 @@
 // one; the service decides whether that matters.
 func classifyShort(p *Packet, payload []byte) {
 	p.Kind = KindDatagram
-	if len(payload) > tagBytes && payload[0]&(quicLongHeader|quicFixedBit) == quicFixedBit {
+	if isShort(payload) {
 		p.Kind = KindData
 		p.Tag, p.HasTag = tag(payload[1:])
 	}
 }
 
+// isShort reports whether data starts with the bits of a short header.
+func isShort(data []byte) bool {
+	return len(data) > tagBytes && data[0]&(quicLongHeader|quicFixedBit) == quicFixedBit
+}
+
 func tag(connID []byte) (uint32, bool) {
 	if len(connID) < tagBytes {
 		return 0, false
--- a/internal/protocol/rewrite.go
+++ b/internal/protocol/rewrite.go
@@ -127,7 +127,7 @@
 		}
 		rest = rest[p.length:]
 	}
-	if len(rest) > 0 && rest[0]&quicFixedBit != 0 {
+	if isShort(rest) {
 		packets++
 	}
 	return kept + copy(payload[kept:], rest), packets
