Run callers, balancers and targets as processes, and accept QUIC callers that change the connection id early

A QUIC target may issue another connection id in its first flight, and callers use it from their first Handshake packet on; the owner took this for a contradiction of its binding and sent the packets elsewhere. Another id now contradicts nothing.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -80,13 +80,24 @@
 	return d.secondConnection(c)
 }
 
+// openerTag identifies the connection of an opener. A QUIC caller may use
+// another connection id of the target in its later Initials, but keeps its own
+// in every packet with a long header.
+func (c *packetContext) openerTag() uint32 {
+	p := &c.in.Packet
+	if c.service.Protocol == objects.ProtocolQUIC && p.SourceTag != 0 {
+		return p.SourceTag
+	}
+	return p.Tag
+}
+
 // sameConnection reports whether an opener belongs to the connection of the entry.
 func (c *packetContext) sameConnection() bool {
 	e, p := &c.entry, &c.in.Packet
 	if !p.HasTag {
 		return true
 	}
-	if e.Has(state.FlagOpenerTag) && e.OpenerTag == p.Tag {
+	if e.Has(state.FlagOpenerTag) && e.OpenerTag == c.openerTag() {
 		return true
 	}
 	quic := c.service.Protocol == objects.ProtocolQUIC
@@ -104,7 +115,7 @@
 // secondConnection decides about another connection on an established flow.
 // The packets of both cannot be told apart, so both go to one target.
 func (d *Dispatcher) secondConnection(c *packetContext) Decision {
-	e, p := &c.entry, &c.in.Packet
+	e := &c.entry
 	if d.leaving(c.service, e.Target) {
 		if c.stamp.Since(e.Seen) >= c.reuseTime() {
 			return d.admit(c)
@@ -112,7 +123,7 @@
 		d.note(c, ActionDrop, e.Target, ReasonSecondConnection)
 		return drop(ReasonSecondConnection)
 	}
-	e.OpenerTag = p.Tag
+	e.OpenerTag = c.openerTag()
 	e.Set(state.FlagOpenerTag | state.FlagReopened)
 	e.Epoch = c.shard.epoch
 	d.count(c)
@@ -176,7 +187,7 @@
 	c.entry.Created = c.stamp
 	c.entry.Epoch = c.shard.epoch
 	if p.HasTag && c.service.Protocol != objects.ProtocolUDP {
-		c.entry.OpenerTag = p.Tag
+		c.entry.OpenerTag = c.openerTag()
 		c.entry.Set(state.FlagOpenerTag)
 	}
 	if !d.save(c) {
--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -104,13 +104,11 @@
 		e.Strength = state.StrengthConfirmed
 		return true
 	}
-	if p.Kind == protocol.KindData {
-		return true // the caller may use another connection id after the handshake
-	}
-	if p.Tag != e.AnswerTag {
-		return false
+	// A target may issue another connection id in its first flight, and callers
+	// use it from their first Handshake packet on, so another id contradicts nothing.
+	if p.Tag == e.AnswerTag {
+		e.Strength = state.StrengthConfirmed
 	}
-	e.Strength = state.StrengthConfirmed
 	return true
 }
 
@@ -124,8 +122,8 @@
 	if c.service.Protocol == objects.ProtocolTCP {
 		return c.continuesTCP()
 	}
-	if c.strong() && p.Kind == protocol.KindData {
-		return true
+	if c.strong() {
+		return true // the caller may use another connection id of the target
 	}
 	if !e.Has(state.FlagAnswerTag) {
 		e.AnswerTag = p.Tag
--- a/internal/coordination/refusal.go
+++ b/internal/coordination/refusal.go
@@ -38,7 +38,7 @@
 		return Decision{Action: ActionRefuse, Reason: r}
 	}
 	p := &c.in.Packet
-	c.entry = state.Entry{Flags: state.FlagRefused, Created: c.stamp, OpenerTag: p.Tag, Epoch: c.shard.epoch}
+	c.entry = state.Entry{Flags: state.FlagRefused, Created: c.stamp, OpenerTag: c.openerTag(), Epoch: c.shard.epoch}
 	if p.HasTag {
 		c.entry.Set(state.FlagOpenerTag)
 	}
--- /dev/null
+++ b/internal/scenario/script_test.go
@@ -0,0 +1,71 @@
+package scenario
+
+import (
+	"net/netip"
+	"os"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kumquatworks/kumquatworks/internal/cli"
+)
+
+// TestMain lets the test binary run as the command kumquatworks.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"kumquatworks": func() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the scripts of testdata. Each script says what it guards against.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports":   portsCommand,
+			"expand":  expandCommand,
+			"answers": answersCommand,
+			"live":    liveCommand,
+			"report":  reportCommand,
+		},
+	})
+}
+
+// portsCommand sets each variable to a free loopback address and port.
+func portsCommand(ts *testscript.TestScript, _ bool, args []string) {
+	for i, address := range freeAddresses(ts, len(args)) {
+		ts.Setenv(args[i], address.String())
+	}
+}
+
+// expandCommand replaces the variables in files.
+func expandCommand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
+	}
+}
+
+// answersCommand waits until each address accepts TCP connections.
+func answersCommand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, address := range args {
+		awaitAnswer(ts, netip.MustParseAddrPort(address))
+	}
+}
+
+// liveCommand waits until the fabric sends to a number of balancers.
+func liveCommand(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	awaitLive(ts, args[0], want)
+}
+
+// reportCommand fails unless the answer at a URL matches a pattern.
+func reportCommand(ts *testscript.TestScript, _ bool, args []string) {
+	text := getText(ts, args[0])
+	if !regexp.MustCompile(args[1]).MatchString(text) {
+		ts.Fatalf("%s: no match for %s in %s", args[0], args[1], text)
+	}
+}
--- a/internal/standin/caller/feed.go
+++ b/internal/standin/caller/feed.go
@@ -47,7 +47,7 @@
 	reader, err := feed.start(ctx)
 	if err != nil {
 		f.close()
-		c.countAnswer("", err)
+		c.countAnswer(request.ID, "", err)
 		return nil
 	}
 	c.add(func(r *Report) {
@@ -193,6 +193,6 @@
 		} else {
 			r.Broken++
 		}
-		r.fault("feed: " + err.Error())
+		r.fault(f.request.ID + ": feed: " + err.Error())
 	})
 }
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -38,7 +38,7 @@
 	}
 	defer f.close()
 	target, err := c.exchange(ctx, f, c.request(number, work))
-	c.countAnswer(target, err)
+	c.countAnswer(c.id(number), target, err)
 }
 
 func (c *Caller) request(number uint64, work Work) exchange.Request {
@@ -59,12 +59,12 @@
 			r.Shed++
 		default:
 			r.Unknown++
-			r.fault("open: " + err.Error())
+			r.fault(id + ": open: " + err.Error())
 		}
 	})
 }
 
-func (c *Caller) countAnswer(target string, err error) {
+func (c *Caller) countAnswer(id, target string, err error) {
 	c.add(func(r *Report) {
 		switch {
 		case err == nil:
@@ -74,10 +74,10 @@
 			r.Shed++
 		case errors.Is(err, errForeign):
 			r.Foreign++
-			r.fault(err.Error())
+			r.fault(id + ": " + err.Error())
 		default:
 			r.Broken++
-			r.fault("request: " + err.Error())
+			r.fault(id + ": " + err.Error())
 		}
 	})
 }
