--- a/internal/publish/plan.go
+++ b/internal/publish/plan.go
@@ -19,6 +19,9 @@
 	// Base, unless nil, is the generation that the operator wants to replace.
 	// Without it the head in force is replaced.
 	Base *uint64
+	// Operator names who publishes. An operator may take back own changes
+	// without naming the base, but not those of others.
+	Operator string
 	// Prefix starts the summary in the history.
 	Prefix string
 }
@@ -40,11 +43,12 @@
 
 	canonical []byte
 	digest    string
+	parts     int
 	head      objects.Head
 	revision  uint64
 	before    objects.Set
 	after     objects.Set
-	prefix    string
+	request   Request
 	retired   []objects.RetiredAddress
 }
 
@@ -67,9 +71,10 @@
 		head:      head,
 		revision:  revision,
 		after:     objects.WithDefaults(request.Set),
-		prefix:    request.Prefix,
+		request:   request,
 	}
 	plan.digest = objects.Digest(plan.canonical)
+	plan.parts = len(split(plan.canonical))
 	if request.Base != nil {
 		plan.Base = *request.Base
 	}
@@ -77,7 +82,7 @@
 	if plan.Settled = p.settled(ctx, plan, request.Base != nil); plan.Settled != nil {
 		return plan, nil
 	}
-	if plan.before, err = loadOrEmpty(ctx, p, head); err != nil {
+	if plan.before, err = p.load(ctx, head); err != nil {
 		return Plan{}, err
 	}
 	plan.compare(fleet)
@@ -99,62 +104,12 @@
 			return unknown("the platform shows generation %d, older than generation %d that was to be replaced; it lost a head or shows an old one", plan.head.Generation, plan.Base)
 		}
 	}
-	for i, publication := range plan.head.Recent {
-		if publication.Digest != plan.digest {
-			continue
-		}
-		if i == 0 {
-			return accepted(publication, plan.head, true)
-		}
-		if based {
-			return nil // the operator named the generation to replace
-		}
-		return p.replaced(ctx, plan, publication)
+	if len(plan.head.Recent) > 0 && plan.head.Digest == plan.digest {
+		return accepted(plan.head.Recent[0], plan.head, true)
 	}
 	return nil
 }
 
-// replaced is the conflict of content that was in force before and has been
-// replaced since. Publishing it again would take back the changes made since.
-func (p *Publisher) replaced(ctx context.Context, plan Plan, publication objects.Publication) *Result {
-	r := &Result{Outcome: OutcomeConflict, Generation: plan.head.Generation}
-	r.Reasons = []string{fmt.Sprintf("this configuration was accepted as generation %d and has been replaced since; to take the later changes back, run rollback %d --base %d",
-		publication.Generation, publication.Generation, plan.head.Generation)}
-	r.Others = p.changesBetween(ctx, publication, plan.head)
-	return r
-}
-
-// maxCompared is the number of earlier snapshots that a publish without a base
-// is compared with. Each takes up to MaxParts reads.
-const maxCompared = 8
-
-// stale returns a conflict when the configuration resembles an earlier
-// generation more than the one in force. Its files were then made from that
-// generation, and publishing them would take back what was accepted since.
-func (p *Publisher) stale(ctx context.Context, plan Plan) (*Result, error) {
-	distance := len(plan.Changes)
-	for i := 1; i <= maxCompared && i <= len(plan.head.Recent); i++ {
-		var earlier objects.Publication // the empty configuration, before the first publish
-		if i < len(plan.head.Recent) {
-			earlier = plan.head.Recent[i]
-		} else if len(plan.head.Recent) == MaxRecent {
-			return nil, nil
-		}
-		set, err := loadOrEmpty(ctx, p, earlier.Head())
-		if err != nil {
-			return nil, err
-		}
-		if len(objects.Changes(set, plan.after)) >= distance {
-			continue
-		}
-		r := &Result{Outcome: OutcomeConflict, Generation: plan.head.Generation, Others: objects.Changes(set, plan.before)}
-		r.Reasons = []string{fmt.Sprintf("this configuration resembles generation %d more than generation %d in force and would take back changes made since; add them to the files, or repeat with --base %d to take them back",
-			earlier.Generation, plan.head.Generation, plan.head.Generation)}
-		return r, nil
-	}
-	return nil, nil
-}
-
 // judge tells from a head what became of a plan; nil means that it may still be written.
 func (p *Publisher) judge(ctx context.Context, plan Plan, head objects.Head) *Result {
 	for _, publication := range head.Recent {
@@ -180,8 +135,8 @@
 // changesBetween tells what changed from a publication to a head. Where a
 // snapshot cannot be read, the summaries of the publishes stand in.
 func (p *Publisher) changesBetween(ctx context.Context, from objects.Publication, head objects.Head) []string {
-	before, errBefore := loadOrEmpty(ctx, p, from.Head())
-	after, errAfter := loadOrEmpty(ctx, p, head)
+	before, errBefore := p.load(ctx, from.Head())
+	after, errAfter := p.load(ctx, head)
 	if errBefore == nil && errAfter == nil {
 		return objects.Changes(before, after)
 	}
@@ -194,12 +149,15 @@
 	return summaries
 }
 
-// loadOrEmpty loads the snapshot of a head; generation 0 is the empty set.
-func loadOrEmpty(ctx context.Context, p *Publisher, head objects.Head) (objects.Set, error) {
+// load loads the snapshot of a head; generation 0 is the empty set.
+func (p *Publisher) load(ctx context.Context, head objects.Head) (objects.Set, error) {
 	if head.Generation == 0 {
 		return objects.Set{}, nil
 	}
-	return Load(ctx, p.Store, head)
+	if p.loader == nil {
+		p.loader = NewLoader(p.Store)
+	}
+	return p.loader.Load(ctx, head)
 }
 
 // compare fills in what the operator is shown and refuses address reuse.
@@ -211,8 +169,8 @@
 		plan.Warnings = append(plan.Warnings, fmt.Sprintf("the platform shows generation %d, the fleet holds %d: the platform lost a head or shows an old one; the differences are against generation %d",
 			plan.head.Generation, fleet.Highest(), plan.head.Generation))
 	}
-	if size := len(plan.canonical); size > MaxParts*PartBytes {
-		plan.Settled = failed("the configuration has %d bytes; at most %d fit", size, MaxParts*PartBytes)
+	if size := len(plan.canonical); size > MaxSnapshotBytes || plan.parts > MaxParts {
+		plan.Settled = failed("the configuration has %d bytes in %d parts; at most %d bytes in %d parts fit", size, plan.parts, MaxSnapshotBytes, MaxParts)
 		return
 	}
 	plan.retired = retire(plan.head.Retired, plan.before, plan.after, plan.Next, fleet)
@@ -226,7 +184,7 @@
 
 // summary describes the changes in the history, in at most summaryBytes.
 func (plan Plan) summary() string {
-	text := plan.prefix
+	text := plan.request.Prefix
 	for i, change := range plan.Changes {
 		if len(text)+len(change) > summaryBytes {
 			return text + fmt.Sprintf("and %d more", len(plan.Changes)-i)
@@ -236,8 +194,9 @@
 	return strings.TrimSuffix(text, "; ")
 }
 
-// PlanRollback plans to publish an earlier generation again.
-func (p *Publisher) PlanRollback(ctx context.Context, generation uint64, base *uint64, fleet Fleet) (Plan, error) {
+// PlanRollback plans to publish an earlier generation again. The request has
+// base and operator only.
+func (p *Publisher) PlanRollback(ctx context.Context, generation uint64, request Request, fleet Fleet) (Plan, error) {
 	head, _, err := ReadHead(ctx, p.Store)
 	if err != nil {
 		return Plan{}, err
@@ -246,15 +205,15 @@
 	if !listed {
 		return Plan{Settled: failed("generation %d is not in the history; kumquatworks history lists what is", generation)}, nil
 	}
-	set, err := Load(ctx, p.Store, publication.Head())
+	request.Set, err = p.load(ctx, publication.Head())
 	if err != nil {
 		return Plan{}, errors.Wrapf(err, "generation %d", generation)
 	}
-	if base == nil && !rolledBackBefore(head, publication) {
-		base = &head.Generation
+	if request.Base == nil && !rolledBackBefore(head, publication) {
+		request.Base = &head.Generation
 	}
-	prefix := fmt.Sprintf("rollback to generation %d: ", generation)
-	return p.Plan(ctx, Request{Set: set, Base: base, Prefix: prefix}, fleet)
+	request.Prefix = fmt.Sprintf("rollback to generation %d: ", generation)
+	return p.Plan(ctx, request, fleet)
 }
 
 // rolledBackBefore reports whether the content of a publication was published again later.
