--- a/internal/cli/operator_print.go
+++ b/internal/cli/operator_print.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -11,14 +13,20 @@
 const maxListed = 50
 
 // print writes the report as text.
-func (r *fleetReport) print(out io.Writer, allTargets bool) error {
+func (r *fleetReport) print(out io.Writer, allTargets, counters bool) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "generation %d (digest %.12s at %s); figures from %s; flow table entries: %d\n",
-		r.Generation, r.Digest, r.Balancer, count(r.Answers, "balancer"), r.Flows)
+	inForce := "no configuration in force"
+	if r.Generation > 0 {
+		inForce = fmt.Sprintf("generation %d (digest %.12s at %s)", r.Generation, r.Digest, r.Balancer)
+	}
+	fmt.Fprintf(&b, "%s; figures from %s; flow table entries: %d\n", inForce, count(r.Answers, "balancer"), r.Flows)
 	r.printPlaces(&b)
 	r.printVMs(&b)
 	r.printPools(&b)
 	r.printTargets(&b, allTargets)
+	if counters {
+		r.printCounters(&b)
+	}
 	fmt.Fprintln(&b)
 	if len(r.Attention) == 0 {
 		fmt.Fprintln(&b, "attention: nothing")
@@ -43,15 +51,21 @@
 		if p.LowestGeneration != p.HighestGeneration {
 			generation = fmt.Sprintf("%d to %d", p.LowestGeneration, p.HighestGeneration)
 		}
-		platform := "not reachable"
-		if p.PlatformReachable {
-			platform = "reachable"
-		}
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%s\t%s, last answer %s\n", p.Place, p.Live, p.Leaving, p.Suspected, p.Dead, generation, platform, ago(p.PlatformAge))
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%s\t%s\n", p.Place, p.Live, p.Leaving, p.Suspected, p.Dead, generation, p.platform())
 	}
 	_ = table.Flush() // writes to memory
 }
 
+func (p placeReport) platform() string {
+	switch {
+	case p.PlatformReachable:
+		return "reachable, last answer " + ago(p.PlatformAge)
+	case p.PlatformAge >= 0:
+		return "not reachable, last answer " + ago(p.PlatformAge)
+	}
+	return "not known"
+}
+
 // printVMs lists the VMs that are not simply alive with the newest generation.
 func (r *fleetReport) printVMs(b *bytes.Buffer) {
 	var list []vmReport
@@ -109,6 +123,14 @@
 	_ = table.Flush() // writes to memory
 }
 
+func (r *fleetReport) printCounters(b *bytes.Buffer) {
+	table := newTable(b, "\nCOUNTER\tTOTAL")
+	for _, name := range slices.Sorted(maps.Keys(r.Counters)) {
+		fmt.Fprintf(table, "%s\t%d\n", name, r.Counters[name])
+	}
+	_ = table.Flush() // writes to memory
+}
+
 func ago(seconds float64) string {
 	if seconds < 0 {
 		return "never"
--- a/internal/cli/operator_report.go
+++ b/internal/cli/operator_report.go
@@ -22,13 +22,15 @@
 	// Answers is the number of balancers whose figures are summed.
 	Answers int `json:"answers"`
 	// Flows is the sum of the flow table entries; copies and learned entries count.
-	Flows     uint64         `json:"flow_entries"`
-	Places    []placeReport  `json:"places"`
-	VMs       []vmReport     `json:"vms"`
-	Pools     []poolReport   `json:"pools"`
-	Targets   []targetReport `json:"targets"`
-	Alarms    []alarmReport  `json:"alarms"`
-	Attention []string       `json:"attention"`
+	Flows   uint64         `json:"flow_entries"`
+	Places  []placeReport  `json:"places"`
+	VMs     []vmReport     `json:"vms"`
+	Pools   []poolReport   `json:"pools"`
+	Targets []targetReport `json:"targets"`
+	Alarms  []alarmReport  `json:"alarms"`
+	// Counters are the sums of the counters of the balancers since their start.
+	Counters  map[string]uint64 `json:"counters"`
+	Attention []string          `json:"attention"`
 }
 
 type placeReport struct {
@@ -94,6 +96,7 @@
 	r := &fleetReport{
 		Balancer: first.Vm, Generation: first.Generation, Digest: hex.EncodeToString(first.Digest), Answers: len(answers),
 		Places: []placeReport{}, VMs: []vmReport{}, Pools: []poolReport{}, Targets: []targetReport{}, Alarms: []alarmReport{}, Attention: []string{},
+		Counters: map[string]uint64{},
 	}
 	for _, m := range first.Members {
 		r.addVM(m, answers[m.Vm], o.failures[m.Vm])
@@ -101,6 +104,9 @@
 	targets := map[string]*targetReport{}
 	for _, vm := range slices.Sorted(maps.Keys(answers)) {
 		r.Flows += answers[vm].Flows
+		for name, total := range answers[vm].Counters {
+			r.Counters[name] += total
+		}
 		for _, text := range answers[vm].Alarms {
 			r.Alarms = append(r.Alarms, alarmReport{VM: vm, Text: text})
 		}
--- a/internal/cli/operator_status.go
+++ b/internal/cli/operator_status.go
@@ -23,10 +23,11 @@
 
 type statusCommand struct {
 	balancerOptions
-	JSON    bool `long:"json" description:"print JSON"`
-	Local   bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns"`
-	Targets bool `long:"targets" description:"list every target, also those that serve normally"`
-	streams Streams
+	JSON     bool `long:"json" description:"print JSON"`
+	Local    bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns"`
+	Targets  bool `long:"targets" description:"list every target, also those that serve normally"`
+	Counters bool `long:"counters" description:"list the counters, summed over the balancers since their start"`
+	streams  Streams
 }
 
 // Execute prints the state of the fleet.
@@ -45,7 +46,7 @@
 	if c.JSON {
 		err = printJSON(c.streams, report)
 	} else {
-		err = report.print(c.streams.Out, c.Targets)
+		err = report.print(c.streams.Out, c.Targets, c.Counters)
 	}
 	if err == nil && len(report.Attention) > 0 {
 		err = errors.Errorf("%s", count(len(report.Attention), "thing")+" to attend to")
