--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -106,7 +106,7 @@
 	out.Checks = a.health.Tick(now)
 	a.planExchanges(now)
 	a.takeNews(now, &out)
-	a.decorate(out.Messages)
+	a.decorate(now, out.Messages)
 	return out
 }
 
@@ -116,7 +116,7 @@
 	out := a.members.HandleProbe(now, from, p)
 	a.peerHead(now, p.GetSource(), p.GetHead())
 	a.health.HandleReports(now, p.GetHealth())
-	a.decorate(out)
+	a.decorate(now, out)
 	return out
 }
 
@@ -152,9 +152,9 @@
 func (a *Agent) Leave() { a.members.Leave() }
 
 // Left announces the end of this balancer and returns the last messages.
-func (a *Agent) Left() []membership.Outgoing {
-	out := a.members.Left()
-	a.decorate(out)
+func (a *Agent) Left(now time.Time) []membership.Outgoing {
+	out := a.members.Left(now)
+	a.decorate(now, out)
 	return out
 }
 
@@ -183,18 +183,18 @@
 }
 
 // decorate adds head and reports. Pushes are copies of one message and count as one.
-func (a *Agent) decorate(messages []membership.Outgoing) {
+func (a *Agent) decorate(now time.Time, messages []membership.Outgoing) {
 	head := a.probeHead()
 	var pushed []*wire.TargetHealth
 	first := true
 	for _, msg := range messages {
 		msg.Probe.Head = head
 		if msg.Probe.Kind != wire.ProbeKind_PROBE_KIND_PUSH {
-			msg.Probe.Health = a.health.Updates()
+			msg.Probe.Health = a.health.Updates(now)
 			continue
 		}
 		if first {
-			pushed, first = a.health.Updates(), false
+			pushed, first = a.health.Updates(now), false
 		}
 		msg.Probe.Health = pushed
 	}
--- a/internal/coordination/gossip/gossip.go
+++ b/internal/coordination/gossip/gossip.go
@@ -7,7 +7,9 @@
 	"encoding/binary"
 	"math"
 	"slices"
+	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -19,41 +21,53 @@
 }
 
 type entry[T proto.Message] struct {
-	key   string
-	value T
-	size  int
-	sends int
-	order uint64
+	key     string
+	value   T
+	size    int
+	routine bool
+	sends   int
+	order   uint64
 }
 
+// Updates that were sent often, or count as such, share a rate. It keeps a
+// backlog, as after the start of many members, within the control budget. The
+// burst lets the updates of usual events pass at once.
+const (
+	routineBytesPerSecond = 200
+	routineBurst          = 4096
+)
+
 // Queue holds the updates that are still to be passed on. A newer update
 // replaces an older one with the same key.
 type Queue[T proto.Message] struct {
 	entries map[string]*entry[T]
 	order   uint64
+	routine *rate.Limiter
 }
 
 // NewQueue returns an empty queue.
 func NewQueue[T proto.Message]() *Queue[T] {
-	return &Queue[T]{entries: map[string]*entry[T]{}}
+	return &Queue[T]{
+		entries: map[string]*entry[T]{},
+		routine: rate.NewLimiter(routineBytesPerSecond, routineBurst),
+	}
 }
 
 // Put adds or replaces the update for key.
-func (q *Queue[T]) Put(key string, value T) { q.PutSent(key, value, 0) }
+func (q *Queue[T]) Put(key string, value T) { q.put(key, value, false) }
+
+// PutRoutine is Put for an update that may wait: it goes after others, is sent
+// half as often, and keeps to the rate.
+func (q *Queue[T]) PutRoutine(key string, value T) { q.put(key, value, true) }
 
-// PutSent is Put for an update of less value, which counts as sent some times
-// already: it goes after others and is sent less often.
-func (q *Queue[T]) PutSent(key string, value T, sends int) {
+func (q *Queue[T]) put(key string, value T, routine bool) {
 	q.order++
-	q.entries[key] = &entry[T]{key: key, value: value, size: proto.Size(value) + 2, sends: sends, order: q.order}
+	q.entries[key] = &entry[T]{key: key, value: value, size: proto.Size(value) + 2, routine: routine, order: q.order}
 }
 
-// Len returns the number of updates still to be passed on.
-func (q *Queue[T]) Len() int { return len(q.entries) }
-
 // Take returns updates of at most budget bytes, those sent least first, and
 // drops the ones that reach limit sends.
-func (q *Queue[T]) Take(budget, limit int) []T {
+func (q *Queue[T]) Take(now time.Time, budget, limit int) []T {
 	if len(q.entries) == 0 {
 		return nil
 	}
@@ -62,10 +76,13 @@
 		if e.size > budget {
 			continue
 		}
+		if (e.routine || e.sends >= limit/2) && !q.routine.AllowN(now, e.size) {
+			continue
+		}
 		budget -= e.size
 		taken = append(taken, e.value)
 		e.sends++
-		if e.sends >= limit {
+		if e.sends >= limit || e.routine && e.sends >= limit/2 {
 			delete(q.entries, e.key)
 		}
 	}
@@ -78,6 +95,9 @@
 		list = append(list, e)
 	}
 	slices.SortFunc(list, func(a, b *entry[T]) int {
+		if a.routine != b.routine {
+			return compareBool(a.routine, b.routine)
+		}
 		if a.sends != b.sends {
 			return a.sends - b.sends
 		}
@@ -86,6 +106,17 @@
 	return list
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // bucketBytes is the size of one bucket hash.
 const bucketBytes = 4
 
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -115,6 +115,9 @@
 	goneAt   time.Time // when the prober ceased to be one; zero while it is one
 }
 
+// vouched reports whether the prober still probes the target.
+func (r *report) vouched() bool { return r.goneAt.IsZero() }
+
 // setVouched starts or stops the age of a report.
 func (r *report) setVouched(now time.Time, vouched bool) {
 	switch {
--- a/internal/coordination/health/reports.go
+++ b/internal/coordination/health/reports.go
@@ -39,12 +39,17 @@
 	r := &report{TargetHealth: u, received: now}
 	r.setVouched(now, slices.Contains(t.probers, u.Prober))
 	t.reports[u.Prober] = r
-	sends := 0
-	if !urgent {
-		sends = gossip.SendLimit(m.members) / 2
-	}
-	m.queue.PutSent(u.Target+"/"+u.Prober, u, sends)
 	m.changed = true
+	key := u.Target + "/" + u.Prober
+	if !r.vouched() {
+		// Passing it on would let reports of former probers circulate forever.
+		return
+	}
+	if urgent {
+		m.queue.Put(key, u)
+	} else {
+		m.queue.PutRoutine(key, u)
+	}
 }
 
 // isUrgent reports whether a report stops or reduces new work.
@@ -72,13 +77,10 @@
 }
 
 // Updates returns reports to piggyback on one message.
-func (m *Machine) Updates() []*wire.TargetHealth {
-	return m.queue.Take(updateBudget, gossip.SendLimit(m.members))
+func (m *Machine) Updates(now time.Time) []*wire.TargetHealth {
+	return m.queue.Take(now, updateBudget, gossip.SendLimit(m.members))
 }
 
-// Pending returns the number of reports still to be passed on.
-func (m *Machine) Pending() int { return m.queue.Len() }
-
 // Reports returns one report for each target that something is known about,
 // by name. Any prober's drain or shedding counts; a target is unhealthy only
 // when no prober holds it for healthy, because one prober may be cut off.
@@ -121,6 +123,9 @@
 	b := make(gossip.Buckets, count)
 	for _, name := range m.names {
 		for _, r := range m.targets[name].reports {
+			if !r.vouched() {
+				continue
+			}
 			b.Add(xxhash.Sum64String(name), hashReport(r.TargetHealth))
 		}
 	}
@@ -148,7 +153,9 @@
 			}
 		}
 		for _, vm := range slices.Sorted(maps.Keys(m.targets[name].reports)) {
-			list = append(list, m.targets[name].reports[vm].TargetHealth)
+			if r := m.targets[name].reports[vm]; r.vouched() {
+				list = append(list, r.TargetHealth)
+			}
 		}
 	}
 	return list
--- a/internal/coordination/membership/probing.go
+++ b/internal/coordination/membership/probing.go
@@ -28,7 +28,7 @@
 		m.forget(now)
 		out = append(out, m.probeSlot(now, slot)...)
 	}
-	return append(out, m.pushUrgent()...)
+	return append(out, m.pushUrgent(now)...)
 }
 
 // slot numbers the probe intervals by wall clock, corrected to follow the
@@ -70,7 +70,7 @@
 			m.suspect(now, x)
 		case age >= m.cfg.AckTimeout && !p.indirect:
 			p.indirect = true
-			out = append(out, m.askHelpers(x, seq)...)
+			out = append(out, m.askHelpers(now, x, seq)...)
 		}
 	}
 	for seq, r := range m.relays {
@@ -81,10 +81,10 @@
 	return out
 }
 
-func (m *Machine) askHelpers(x *member, seq uint64) []Outgoing {
-	out := []Outgoing{m.message(x.control, kindPing, seq, x)}
+func (m *Machine) askHelpers(now time.Time, x *member, seq uint64) []Outgoing {
+	out := []Outgoing{m.message(now, x.control, kindPing, seq, x)}
 	for _, helper := range m.sample(m.cfg.Helpers, x.vm) {
-		probe := m.message(helper.control, kindIndirect, seq, helper)
+		probe := m.message(now, helper.control, kindIndirect, seq, helper)
 		probe.Probe.Subject = x.vm
 		out = append(out, probe)
 	}
@@ -116,7 +116,7 @@
 		out = append(out, m.ping(now, x))
 	}
 	if slot%int64(m.cfg.HealEvery) == 0 || len(m.order) == 1 {
-		out = append(out, m.heal()...)
+		out = append(out, m.heal(now)...)
 	}
 	return out
 }
@@ -136,7 +136,7 @@
 func (m *Machine) ping(now time.Time, x *member) Outgoing {
 	m.sequence++
 	m.pending[m.sequence] = &pending{vm: x.vm, sent: now}
-	out := m.message(x.control, kindPing, m.sequence, x)
+	out := m.message(now, x.control, kindPing, m.sequence, x)
 	out.Probe.Slot = uint32(uint16(m.lastSlot))
 	return out
 }
@@ -153,14 +153,14 @@
 
 // heal probes one address where no live member is known: a dead member, a
 // seed or a VM of the list. An answer merges partitions.
-func (m *Machine) heal() []Outgoing {
+func (m *Machine) heal(now time.Time) []Outgoing {
 	targets := m.healTargets()
 	if len(targets) == 0 {
 		return nil
 	}
 	to := targets[m.rng.IntN(len(targets))]
 	m.sequence++
-	out := m.message(to.addr, kindPing, m.sequence, to.member)
+	out := m.message(now, to.addr, kindPing, m.sequence, to.member)
 	out.Probe.Updates = append(out.Probe.Updates, m.self.update())
 	return []Outgoing{out}
 }
@@ -198,9 +198,9 @@
 // message builds a probe with piggybacked updates. What this balancer believes
 // about an addressee that it does not hold for alive always goes along, so
 // that the addressee can refute.
-func (m *Machine) message(to netip.AddrPort, kind wire.ProbeKind, seq uint64, x *member) Outgoing {
+func (m *Machine) message(now time.Time, to netip.AddrPort, kind wire.ProbeKind, seq uint64, x *member) Outgoing {
 	probe := &wire.Probe{Kind: kind, Sequence: seq, Source: m.self.vm}
-	probe.Updates = m.updates.Take(updateBudget, gossip.SendLimit(len(m.order)))
+	probe.Updates = m.updates.Take(now, updateBudget, gossip.SendLimit(len(m.order)))
 	if x != nil && x.state != alive {
 		probe.Updates = append(probe.Updates, x.update())
 	}
@@ -208,7 +208,7 @@
 }
 
 // pushUrgent sends news at once instead of waiting for the next probe.
-func (m *Machine) pushUrgent() []Outgoing {
+func (m *Machine) pushUrgent(now time.Time) []Outgoing {
 	if !m.urgent {
 		return nil
 	}
@@ -223,15 +223,15 @@
 		}
 	}
 	clear(m.pushTo)
-	return m.push(targets)
+	return m.push(now, targets)
 }
 
 // push sends the same updates to several members.
-func (m *Machine) push(targets []*member) []Outgoing {
+func (m *Machine) push(now time.Time, targets []*member) []Outgoing {
 	if len(targets) == 0 {
 		return nil
 	}
-	updates := m.updates.Take(updateBudget, gossip.SendLimit(len(m.order)))
+	updates := m.updates.Take(now, updateBudget, gossip.SendLimit(len(m.order)))
 	var out []Outgoing
 	for _, x := range targets {
 		probe := &wire.Probe{Kind: kindPush, Source: m.self.vm, Updates: updates}
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -24,19 +24,19 @@
 	switch p.Kind {
 	case kindPing:
 		m.followSlot(p)
-		return []Outgoing{m.ack(from, p, sender)}
+		return []Outgoing{m.ack(now, from, p, sender)}
 	case kindIndirect:
 		return m.relayPing(now, from, p)
 	case kindAck:
-		return m.handleAck(p)
+		return m.handleAck(now, p)
 	}
 	return nil
 }
 
 // ack answers a ping. A sender that is not known here as alive learns so, and
 // announces itself again.
-func (m *Machine) ack(to netip.AddrPort, p *wire.Probe, sender *member) Outgoing {
-	out := m.message(to, kindAck, p.Sequence, sender)
+func (m *Machine) ack(now time.Time, to netip.AddrPort, p *wire.Probe, sender *member) Outgoing {
+	out := m.message(now, to, kindAck, p.Sequence, sender)
 	if sender == nil {
 		out.Probe.Updates = append(out.Probe.Updates, &wire.Member{Vm: p.Source, State: dead})
 	}
@@ -50,10 +50,10 @@
 	}
 	m.sequence++
 	m.relays[m.sequence] = &relayed{sequence: p.Sequence, origin: from, subject: p.Subject, sent: now}
-	return []Outgoing{m.message(x.control, kindPing, m.sequence, x)}
+	return []Outgoing{m.message(now, x.control, kindPing, m.sequence, x)}
 }
 
-func (m *Machine) handleAck(p *wire.Probe) []Outgoing {
+func (m *Machine) handleAck(now time.Time, p *wire.Probe) []Outgoing {
 	if waiting := m.pending[p.Sequence]; waiting != nil && answers(waiting, p) {
 		delete(m.pending, p.Sequence)
 		return nil
@@ -63,7 +63,7 @@
 		return nil
 	}
 	delete(m.relays, p.Sequence)
-	out := m.message(r.origin, kindAck, r.sequence, nil)
+	out := m.message(now, r.origin, kindAck, r.sequence, nil)
 	out.Probe.Subject = r.subject
 	return []Outgoing{out}
 }
--- a/internal/coordination/membership/updates.go
+++ b/internal/coordination/membership/updates.go
@@ -55,11 +55,14 @@
 	if !x.setIdentity(u) || severity(u.State) >= severity(dead) {
 		return
 	}
+	alone := len(m.order) == 1 // a balancer that joins tells nobody what it is told
 	m.members[x.vm] = x
 	_, x.listed = m.candidates[x.vm]
 	delete(m.candidates, x.vm)
 	m.enterState(now, x, u.State)
-	m.announce(x)
+	if !alone {
+		m.updates.PutRoutine(x.vm, x.update())
+	}
 }
 
 // applyNewer takes over a higher incarnation, which overrides every state.
@@ -189,8 +192,8 @@
 }
 
 // Left announces the end of this balancer and returns the last messages to send.
-func (m *Machine) Left() []Outgoing {
+func (m *Machine) Left(now time.Time) []Outgoing {
 	m.self.state = left
 	m.announce(m.self)
-	return m.push(m.sample(2*m.cfg.Fanout, ""))
+	return m.push(now, m.sample(2*m.cfg.Fanout, ""))
 }
--- a/internal/transport/control/loop.go
+++ b/internal/transport/control/loop.go
@@ -34,7 +34,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.send(p.agent.Left())
+			p.send(p.agent.Left(time.Now()))
 			return
 		case <-ticker.C:
 			p.tick(ctx)
