--- /dev/null
+++ b/internal/publish/publish_test.go
@@ -0,0 +1,263 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+var ctx = context.Background()
+
+// twoServices returns services a and b, each with one pool, and the given targets
+// as "pool:last byte of the address".
+func twoServices(targets ...string) objects.Set {
+	set := objects.Set{Places: []objects.Place{{Name: "here"}}}
+	for i, name := range []string{"a", "b"} {
+		set.Services = append(set.Services, objects.Service{Name: name, Address: netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), Port: 80, Protocol: objects.ProtocolTCP, Pool: name})
+		set.Pools = append(set.Pools, objects.Pool{Name: name, Slots: 1, Connections: 1})
+	}
+	for _, t := range targets {
+		pool, last, _ := strings.Cut(t, ":")
+		address := netip.MustParseAddr("10.2.0." + last)
+		set.Targets = append(set.Targets, objects.Target{Name: "t" + last, Pool: pool, Place: "here", Address: address, Port: 80})
+	}
+	return set
+}
+
+func publish(t *testing.T, p *Publisher, set objects.Set, fleet Fleet) Result {
+	t.Helper()
+	plan, err := p.Plan(ctx, Request{Set: set}, fleet)
+	assert.NilError(t, err)
+	return p.Commit(ctx, plan)
+}
+
+func readHead(t assert.TestingT, store platform.Store) objects.Head {
+	head, _, err := ReadHead(ctx, store)
+	assert.NilError(t, err)
+	return head
+}
+
+// Guards against an operator who is not told what another operator changed.
+func TestConflictShowsOtherChange(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	assert.Equal(t, publish(t, p, twoServices("a:1", "a:2"), Fleet{}).Outcome, OutcomeAccepted)
+	mine, err := p.Plan(ctx, Request{Set: twoServices("a:1", "a:2", "a:3")}, Fleet{})
+	assert.NilError(t, err)
+	drained := twoServices("a:1", "a:2")
+	drained.Targets[1].Drain = true
+	assert.Equal(t, publish(t, p, drained, Fleet{}).Outcome, OutcomeAccepted)
+	r := p.Commit(ctx, mine)
+	assert.Equal(t, r.Outcome, OutcomeConflict)
+	assert.Equal(t, r.Generation, uint64(2))
+	assert.DeepEqual(t, r.Others, []string{"a: target t2 drains"})
+}
+
+// Guards against a repeated command that takes back what another operator
+// published after it, and against a lost publish that a named base cannot find.
+func TestRepeatAfterOtherPublish(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	set := twoServices("a:1")
+	assert.Equal(t, publish(t, p, set, Fleet{}).Outcome, OutcomeAccepted)
+	assert.Equal(t, publish(t, p, twoServices("a:1", "b:2"), Fleet{}).Outcome, OutcomeAccepted)
+	r := publish(t, p, set, Fleet{})
+	assert.Equal(t, r.Outcome, OutcomeConflict)
+	assert.DeepEqual(t, r.Others, []string{"b: target t2 added at 10.2.0.2:80 in here"})
+	var base uint64
+	plan, err := p.Plan(ctx, Request{Set: set, Base: &base}, Fleet{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *plan.Settled, Result{Outcome: OutcomeAccepted, Generation: 1, Repeated: true, Reasons: []string{"generation 2 was published after it and is in force now"}})
+	assert.Equal(t, readHead(t, store).Generation, uint64(2))
+}
+
+// Guards against an operator who cannot take back an own change, such as a
+// drain, by publishing the earlier files, or does so over another's change.
+func TestOwnChangeCanBeTakenBack(t *testing.T) {
+	p := newTestPublisher(newFakeStore())
+	as := func(operator string, targets ...string) Result {
+		plan, err := p.Plan(ctx, Request{Set: twoServices(targets...), Operator: operator}, Fleet{})
+		assert.NilError(t, err)
+		return p.Commit(ctx, plan)
+	}
+	assert.Equal(t, as("eve", "a:1").Outcome, OutcomeAccepted)
+	assert.Equal(t, as("ann", "a:1", "a:2").Outcome, OutcomeAccepted)
+	assert.DeepEqual(t, as("ann", "a:1"), Result{Outcome: OutcomeAccepted, Generation: 3})
+	assert.DeepEqual(t, as("ann", "a:1", "a:3"), Result{Outcome: OutcomeAccepted, Generation: 4})
+	assert.Equal(t, as("eve", "a:1", "b:4").Outcome, OutcomeConflict)
+	assert.Equal(t, as("eve", "a:1", "a:3", "b:4").Outcome, OutcomeAccepted)
+	assert.Equal(t, as("ann", "a:1", "a:3").Outcome, OutcomeConflict)
+	assert.Equal(t, as("ann", "a:1").Outcome, OutcomeConflict)
+}
+
+// Guards against a verdict about a publish that the bounded history no longer lists,
+// and against one from a head that is older than the base.
+func TestHistoryTooShortIsUnknown(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	for i := range MaxRecent + 2 {
+		assert.Equal(t, publish(t, p, twoServices("a:1", fmt.Sprintf("b:%d", i+2)), Fleet{}).Outcome, OutcomeAccepted)
+	}
+	assert.Equal(t, len(readHead(t, store).Recent), MaxRecent)
+	for _, base := range []uint64{0, 1, MaxRecent + 3} {
+		plan, err := p.Plan(ctx, Request{Set: twoServices("a:200"), Base: &base}, Fleet{})
+		assert.NilError(t, err)
+		assert.Equal(t, plan.Settled.Outcome, OutcomeUnknown, "base %d", base)
+	}
+}
+
+// Guards against a rollback that changes an earlier generation, or that a
+// repeated command does again over another operator's publish.
+func TestRollback(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	publish(t, p, twoServices("a:1"), Fleet{})
+	publish(t, p, twoServices("a:1", "a:2"), Fleet{})
+	rollback := func() Result {
+		plan, err := p.PlanRollback(ctx, 1, Request{}, Fleet{})
+		assert.NilError(t, err)
+		return p.Commit(ctx, plan)
+	}
+	assert.DeepEqual(t, rollback(), Result{Outcome: OutcomeAccepted, Generation: 3})
+	assert.DeepEqual(t, rollback(), Result{Outcome: OutcomeAccepted, Generation: 3, Repeated: true})
+	head := readHead(t, store)
+	assert.Equal(t, head.Recent[0].Summary, "rollback to generation 1: a: target t2 removed")
+	assert.Equal(t, head.Recent[0].Digest, head.Recent[2].Digest)
+	publish(t, p, twoServices("a:1", "a:3"), Fleet{})
+	assert.Equal(t, rollback().Outcome, OutcomeConflict)
+	assert.Equal(t, readHead(t, store).Generation, uint64(4))
+}
+
+// largeSet has n targets in pool a.
+func largeSet(n int) objects.Set {
+	set := twoServices()
+	for i := range n {
+		address := netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)})
+		set.Targets = append(set.Targets, objects.Target{Name: fmt.Sprintf("target-%05d", i), Pool: "a", Place: "here", Address: address, Port: 80})
+	}
+	return set
+}
+
+// Guards against a change of one target that makes writers or readers move more
+// than a twentieth of the snapshot, and against values above the limit.
+func TestSnapshotsShareChunks(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	set := largeSet(5000)
+	assert.Equal(t, publish(t, p, set, Fleet{}).Outcome, OutcomeAccepted)
+	loader := NewLoader(store)
+	_, err := loader.Load(ctx, readHead(t, store))
+	assert.NilError(t, err)
+	for _, change := range []func(){
+		func() { set.Targets[2500].Drain = true },
+		func() { set.Targets = slices.Delete(set.Targets, 100, 101) },
+		func() {
+			set.Targets = append(set.Targets, objects.Target{Name: "t", Pool: "b", Place: "here", Address: netip.MustParseAddr("10.9.0.1"), Port: 1})
+		},
+	} {
+		change()
+		before := maps.Clone(store.records)
+		assert.Equal(t, publish(t, p, set, Fleet{}).Outcome, OutcomeAccepted)
+		written := 0
+		for key, record := range store.records {
+			assert.Assert(t, len(record.Value) < platform.MaxValueBytes/2)
+			if _, old := before[key]; !old {
+				written += len(record.Value)
+			}
+		}
+		head := readHead(t, store)
+		assert.Assert(t, written < len(objects.Canonical(set))/20, "%d bytes", written)
+		store.read = 0
+		got, err := loader.Load(ctx, head)
+		assert.NilError(t, err)
+		assert.Equal(t, len(objects.Changes(set, got)), 0)
+		assert.Assert(t, store.read < len(objects.Canonical(set))/20, "%d bytes", store.read)
+	}
+}
+
+// Guards against a damaged chunk or a manifest of another length that is accepted.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	store := newFakeStore()
+	p := newTestPublisher(store)
+	assert.Equal(t, publish(t, p, largeSet(500), Fleet{}).Outcome, OutcomeAccepted)
+	head := readHead(t, store)
+	for key, record := range store.records {
+		if key == HeadKey {
+			continue
+		}
+		damaged := record
+		damaged.Value = append([]byte{' '}, record.Value...)
+		if strings.HasPrefix(key, manifestPrefix) {
+			damaged.Value = []byte(`["00"]`)
+		}
+		store.records[key] = damaged
+		_, err := Load(ctx, store, head)
+		assert.Assert(t, err != nil, key)
+		store.records[key] = record
+	}
+}
+
+// Guards against a rollback that drops fields which this version does not know.
+func TestSnapshotOfNewerVersionIsRefused(t *testing.T) {
+	data := []byte(`{"places":[{"name":"a","region":"r"}]}`)
+	_, err := DecodeSnapshot(data, objects.Digest(data))
+	assert.ErrorContains(t, err, `unknown field "region"`)
+}
+
+// Guards against a generation at or below the one in force, which no balancer
+// would adopt, after the platform lost its records.
+func TestPublishAfterPlatformLoss(t *testing.T) {
+	p := newTestPublisher(newFakeStore())
+	fleet := Fleet{Known: true, Members: []Member{{VM: "m", Live: true, Generation: 41}}}
+	plan, err := p.Plan(ctx, Request{Set: twoServices("a:1")}, fleet)
+	assert.NilError(t, err)
+	assert.Assert(t, cmp.Contains(strings.Join(plan.Warnings, "\n"), "the fleet holds 41"))
+	assert.Equal(t, p.Commit(ctx, plan).Generation, uint64(42))
+}
+
+// Guards against a target address that serves a new service while a balancer
+// may still send packets of the former service to it.
+func TestAddressReuse(t *testing.T) {
+	const bound = StalenessBound
+	vm := func(names ...string) (vms []platform.VM) {
+		for _, n := range names {
+			vms = append(vms, platform.VM{Name: n})
+		}
+		return vms
+	}
+	cases := []struct {
+		name    string
+		fleet   Fleet
+		refusal string // empty: accepted
+	}{
+		{"fleet not known", Fleet{}, "not known which balancers"},
+		{"live balancer behind", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", true, 1, 0}}, vm("m1", "m2")}, "balancer m2 has generation 1 in force; wait"},
+		{"dead balancer on the VM list", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, time.Hour}}, vm("m1", "m2")}, "m2 is not reachable with generation 1 and still on the VM list"},
+		{"left just now", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, bound - 20*time.Second}}, vm("m1")}, "balancer m2 left with generation 1; wait 20s more"},
+		{"listed but unknown", Fleet{true, []Member{{"m1", true, 2, 0}}, vm("m1", "m3")}, "m3 is on the VM list but unknown"},
+		{"left long ago", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, bound}}, vm("m1")}, ""},
+		{"all acknowledged", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", true, 3, 0}}, vm("m1", "m2")}, ""},
+	}
+	for _, c := range cases {
+		p := newTestPublisher(newFakeStore())
+		publish(t, p, twoServices("a:1", "a:2"), Fleet{})
+		direct := publish(t, p, twoServices("a:1", "b:2"), c.fleet)
+		assert.Assert(t, cmp.Contains(strings.Join(direct.Reasons, "\n"), "moves from service a to b in one step"), c.name)
+		assert.Equal(t, publish(t, p, twoServices("a:1"), Fleet{}).Outcome, OutcomeAccepted, c.name)
+		assert.Equal(t, publish(t, p, twoServices("a:1", "a:3"), c.fleet).Outcome, OutcomeAccepted, c.name)
+		moved := publish(t, p, twoServices("a:1", "a:3", "b:2"), c.fleet)
+		assert.Equal(t, moved.Outcome == OutcomeAccepted, c.refusal == "", "%s: %v", c.name, moved)
+		assert.Assert(t, cmp.Contains(strings.Join(moved.Reasons, "\n"), c.refusal), c.name)
+	}
+}
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
@@ -56,6 +57,8 @@
 	OnHandoff func([]state.Binding) int
 	// Core answers status and explain requests and hands over bindings on leave; nil without a data path.
 	Core coordination.Core
+	// Counters returns totals of the data path by name, which Status adds to its own; may be nil.
+	Counters func() map[string]uint64
 }
 
 const (
@@ -78,6 +81,7 @@
 	tcp      net.Listener
 	peers    *authClient
 	targets  *http.Client
+	loader   *publish.Loader
 	requests chan func()
 	probes   chan received
 	done     chan struct{} // closed when the loop ends
@@ -112,6 +116,7 @@
 	}
 	p.peers = newPeerClient(o.FleetKey, p.counters)
 	p.targets = newTargetClient(p.counters)
+	p.loader = publish.NewLoader(o.Store)
 	now := time.Now()
 	identity := membership.Config{
 		VM: o.VM, Place: o.Place, Data: o.Data, Control: p.options.Control, Seeds: o.Seeds, Seed: o.Seed,
