Rebind a QUIC flow to the target whose answer the caller took

While views differ, two owners may send one opener to two targets. The owner dropped the answer of the second target and never learned that the caller had taken it, so the flow stalled until the handshake timed out. The owner now remembers the second answer, moves the flow when the caller uses its connection id, and tries both in turn when the id tells nothing.

--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -24,6 +24,9 @@
 		return d.byHash(c)
 	}
 	d.find(c)
+	if target, ok := d.towardsRival(c); ok {
+		return d.forward(c, target, ReasonKnownFlow)
+	}
 	switch {
 	case d.opens(c):
 		return d.opener(c)
--- a/internal/coordination/conflict.go
+++ b/internal/coordination/conflict.go
@@ -33,6 +33,7 @@
 func (d *Dispatcher) conflictOnTentative(c *packetContext) Reason {
 	e, p := &c.entry, &c.in.Packet
 	if c.isAnswer() && e.Has(state.FlagAnswered) {
+		d.noteRival(c)
 		return ReasonForeignAnswer
 	}
 	d.note(c, ActionReturn, p.Source, ReasonReturn)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -65,6 +65,8 @@
 	tried []protocol.Endpoint
 	// answered attempts are kept for a while to recognise late answers of tried targets.
 	answered bool
+	// rival is set when another target answered too.
+	rival rival
 }
 
 type retiredAddress struct {
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -70,7 +70,7 @@
 			d.flows.Put(flow, e)
 			s.counts.Load(e.Target).Failed(now)
 		}
-		if !ok || now.Sub(one.deadline) > closedTime || one.answered && len(one.tried) == 0 {
+		if !ok || now.Sub(one.deadline) > closedTime || one.answered && len(one.tried) == 0 && one.rival.target.IsZero() {
 			delete(s.attempts, flow)
 		}
 	}
