--- a/internal/coordination/follower/events.go
+++ b/internal/coordination/follower/events.go
@@ -135,7 +135,7 @@
 
 func (f *Follower) handleLoad(now time.Time, r Result) (Snapshot, bool) {
 	f.load.done(now.Add(f.jitter(f.cfg.RetryInterval)))
-	if r.Err != nil {
+	if r.Err != nil && !r.Corrupted {
 		f.platformFailed(now)
 		return Snapshot{}, false
 	}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -56,13 +56,15 @@
 
 // Result is the answer to a command. Err means that there was no usable answer.
 type Result struct {
-	Command  Command
-	Err      error
-	Head     Head // of ReadHead, WatchHead and FetchPeer
-	Parts    int
-	Revision uint64
-	Snapshot []byte // canonical JSON of LoadSnapshot and FetchPeer
-	Delta    []byte // instead of Snapshot, of FetchPeer
+	Command Command
+	Err     error
+	// Corrupted tells that Err is about what the platform holds; it does answer.
+	Corrupted bool
+	Head      Head // of ReadHead, WatchHead and FetchPeer
+	Parts     int
+	Revision  uint64
+	Snapshot  []byte // canonical JSON of LoadSnapshot and FetchPeer
+	Delta     []byte // instead of Snapshot, of FetchPeer
 }
 
 // Snapshot is a verified configuration.
--- a/internal/coordination/follower/snapshots.go
+++ b/internal/coordination/follower/snapshots.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
 )
 
 // maxHistory is the number of earlier snapshots kept as bases of deltas. At the
@@ -29,8 +30,8 @@
 	if len(raw) == 0 || objects.Digest(raw) != head.Digest {
 		return objects.Set{}, verdictCorrupted
 	}
-	var set objects.Set
-	if err := json.Unmarshal(raw, &set); err != nil {
+	set, err := publish.DecodeSnapshot(raw, head.Digest)
+	if err != nil {
 		return objects.Set{}, verdictInvalid
 	}
 	if f.cfg.Validate != nil && f.cfg.Validate(set) != nil {
--- a/internal/coordination/membership/updates.go
+++ b/internal/coordination/membership/updates.go
@@ -120,6 +120,10 @@
 	m.announce(x)
 }
 
+// healExchanges is the mean number of members that start an exchange with one
+// that came back. If all did, a restarted balancer would answer the whole fleet.
+const healExchanges = 3
+
 // enterState moves a member into a state.
 func (m *Machine) enterState(now time.Time, x *member, state wire.MemberState) {
 	if state == leaving || state == wire.MemberState_MEMBER_STATE_UNSPECIFIED {
@@ -132,7 +136,7 @@
 	delete(m.suspects, x.vm)
 	switch state {
 	case alive:
-		if wasDead {
+		if wasDead && m.rng.IntN(len(m.order)) < healExchanges {
 			m.healed = append(m.healed, x.control)
 		}
 		m.enter(x.vm)
--- a/internal/publish/loader.go
+++ b/internal/publish/loader.go
@@ -15,6 +15,10 @@
 // other, the chunks of 5,000 targets would take 15 s from a platform that needs 100 ms.
 const readsAtOnce = 8
 
+// ErrContent is the cause of an error when the platform answered and what it
+// holds is missing or does not match its name.
+var ErrContent = errors.New("stored snapshot is not usable")
+
 // Loader reads snapshots and keeps the chunks of the last one, because the next
 // shares most of them.
 type Loader struct {
@@ -60,7 +64,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "snapshot %s", digest)
 	}
-	return decodeManifest(value, digest, parts)
+	names, err := decodeManifest(value, digest, parts)
+	if err != nil {
+		return nil, errors.Wrap(ErrContent, err.Error())
+	}
+	return names, nil
 }
 
 func (l *Loader) get(ctx context.Context, key string) ([]byte, error) {
@@ -69,7 +77,7 @@
 		return nil, err
 	}
 	if record.Revision == 0 {
-		return nil, errors.Errorf("%s is missing", key)
+		return nil, errors.Wrapf(ErrContent, "%s is missing", key)
 	}
 	return record.Value, nil
 }
@@ -92,7 +100,7 @@
 		return err
 	}
 	if chunkName(value) != name {
-		return errors.Errorf("%s%s holds other content", chunkPrefix, name)
+		return errors.Wrapf(ErrContent, "%s%s holds other content", chunkPrefix, name)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/control/commands.go
+++ b/internal/transport/control/commands.go
@@ -112,7 +112,7 @@
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	raw, err := p.loader.Canonical(call, c.Head.Digest, c.Parts)
-	return follower.Result{Command: c, Err: err, Snapshot: raw}
+	return follower.Result{Command: c, Err: err, Corrupted: errors.Is(err, publish.ErrContent), Snapshot: raw}
 }
 
 // fetch asks a peer for a snapshot.
