Require evidence that a silent balancer left before an address moves

A model test found that a balancer that had been silent for the bound and then left the VM list was taken for gone at once. The fleet must now show it as left, 30 s after it left the list.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -203,6 +203,7 @@
 		fleet.Members = append(fleet.Members, publish.Member{
 			VM:         m.Vm,
 			Live:       live(m),
+			Left:       m.State == wire.MemberState_MEMBER_STATE_LEFT,
 			Generation: m.Generation,
 			HeardAgo:   time.Duration(m.HeardAgeSeconds * float64(time.Second)),
 		})
--- a/internal/publish/fleet.go
+++ b/internal/publish/fleet.go
@@ -9,8 +9,9 @@
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 )
 
-// StalenessBound is how long a balancer that left the VM list may still forward
-// by an old configuration. It covers the lag of the VM list and of the fabric.
+// StalenessBound is how long a balancer that left must have been silent before
+// its old configuration no longer counts. It is twice the 30 s by which the VM
+// list may lag, after which the fleet calls a balancer that the list lacks left.
 const StalenessBound = 60 * time.Second
 
 // Member is one balancer as another balancer reports it.
@@ -18,6 +19,8 @@
 	VM string
 	// Live is set for members that are alive, suspected or leaving.
 	Live bool
+	// Left is set for members that the fleet found to have left, not merely to be dead.
+	Left bool
 	// Generation is the highest generation that the member acknowledged.
 	Generation uint64
 	// HeardAgo is the time since the member was last heard of.
@@ -71,6 +74,8 @@
 		return []string{fmt.Sprintf("balancer %s has generation %d in force; wait until it reports %d, normally within 5 s", m.VM, m.Generation, generation)}
 	case listed:
 		return []string{fmt.Sprintf("balancer %s is not reachable with generation %d and still on the VM list; wait until it comes back or leaves the VM list, and then %s", m.VM, m.Generation, StalenessBound)}
+	case !m.Left:
+		return []string{fmt.Sprintf("balancer %s is dead with generation %d and not on the VM list; wait until status shows it as left, normally 30 s after it left the list", m.VM, m.Generation)}
 	case m.HeardAgo < StalenessBound:
 		return []string{fmt.Sprintf("balancer %s left with generation %d; wait %s more", m.VM, m.Generation, (StalenessBound - m.HeardAgo).Round(time.Second))}
 	}
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -230,6 +230,7 @@
 // may still send packets of the former service to it.
 func TestAddressReuse(t *testing.T) {
 	const bound = StalenessBound
+	ok := Member{"m1", true, false, 2, 0}
 	vm := func(names ...string) (vms []platform.VM) {
 		for _, n := range names {
 			vms = append(vms, platform.VM{Name: n})
@@ -242,12 +243,13 @@
 		refusal string // empty: accepted
 	}{
 		{"fleet not known", Fleet{}, "not known which balancers"},
-		{"live balancer behind", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", true, 1, 0}}, vm("m1", "m2")}, "balancer m2 has generation 1 in force; wait"},
-		{"dead balancer on the VM list", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, time.Hour}}, vm("m1", "m2")}, "m2 is not reachable with generation 1 and still on the VM list"},
-		{"left just now", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, bound - 20*time.Second}}, vm("m1")}, "balancer m2 left with generation 1; wait 20s more"},
-		{"listed but unknown", Fleet{true, []Member{{"m1", true, 2, 0}}, vm("m1", "m3")}, "m3 is on the VM list but unknown"},
-		{"left long ago", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", false, 1, bound}}, vm("m1")}, ""},
-		{"all acknowledged", Fleet{true, []Member{{"m1", true, 2, 0}, {"m2", true, 3, 0}}, vm("m1", "m2")}, ""},
+		{"live balancer behind", Fleet{true, []Member{ok, {"m2", true, false, 1, 0}}, vm("m1", "m2")}, "balancer m2 has generation 1 in force; wait"},
+		{"dead balancer on the VM list", Fleet{true, []Member{ok, {"m2", false, false, 1, time.Hour}}, vm("m1", "m2")}, "m2 is not reachable with generation 1 and still on the VM list"},
+		{"not yet found to have left", Fleet{true, []Member{ok, {"m2", false, false, 1, time.Hour}}, vm("m1")}, "wait until status shows it as left"},
+		{"left just now", Fleet{true, []Member{ok, {"m2", false, true, 1, bound - 20*time.Second}}, vm("m1")}, "balancer m2 left with generation 1; wait 20s more"},
+		{"listed but unknown", Fleet{true, []Member{ok}, vm("m1", "m3")}, "m3 is on the VM list but unknown"},
+		{"left long ago", Fleet{true, []Member{ok, {"m2", false, true, 1, bound}}, vm("m1")}, ""},
+		{"all acknowledged", Fleet{true, []Member{ok, {"m2", true, false, 3, 0}}, vm("m1", "m2")}, ""},
 	}
 	for _, c := range cases {
 		p := newTestPublisher(newFakeStore())
--- /dev/null
+++ b/internal/publish/reuse_test.go
@@ -0,0 +1,134 @@
+package publish
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+// modelBalancer is a balancer as it really is, and as the fleet knows it.
+type modelBalancer struct {
+	generation uint64 // in force
+	reported   uint64
+	cut        bool // keeps forwarding, hears and tells nothing
+	listed     bool
+	heard      time.Duration
+	unlisted   time.Duration // when it left the VM list
+}
+
+// listLag is how long the VM list may lag.
+const listLag = 30 * time.Second
+
+// left reports whether the fleet has found that the balancer left the VM list.
+func (b *modelBalancer) left(now time.Duration) bool {
+	return b.cut && !b.listed && now-b.unlisted >= listLag
+}
+
+// runs reports whether the balancer may still forward.
+func (b *modelBalancer) runs(now time.Duration) bool {
+	return b.listed || now-b.unlisted < listLag || now-b.heard < StalenessBound
+}
+
+type reuseModel struct {
+	now       time.Duration
+	balancers []*modelBalancer
+	sets      []objects.Set // by generation
+}
+
+func (m *reuseModel) fleet() Fleet {
+	f := Fleet{Known: true}
+	for i, b := range m.balancers {
+		vm := fmt.Sprintf("m%d", i)
+		f.Members = append(f.Members, Member{VM: vm, Live: !b.cut, Left: b.left(m.now), Generation: b.reported, HeardAgo: m.now - b.heard})
+		if b.listed {
+			f.VMs = append(f.VMs, platform.VM{Name: vm})
+		}
+	}
+	return f
+}
+
+// crossings lists the addresses that a running balancer gives to another service than the newest generation does.
+func (m *reuseModel) crossings() []string {
+	var list []string
+	newest := servedBy(m.sets[len(m.sets)-1])
+	for i, b := range m.balancers {
+		if !b.runs(m.now) {
+			continue
+		}
+		for address, service := range servedBy(m.sets[b.generation]) {
+			if now, used := newest[address]; used && now.Name != service.Name {
+				list = append(list, fmt.Sprintf("m%d with generation %d sends packets of %s to %s of %s", i, b.generation, service.Name, address, now.Name))
+			}
+		}
+	}
+	return list
+}
+
+// step lets one balancer adopt, go silent, come back or leave the VM list, or time pass.
+func (m *reuseModel) step(t *rapid.T) {
+	b := m.balancers[rapid.IntRange(0, len(m.balancers)-1).Draw(t, "balancer")]
+	switch rapid.IntRange(0, 4).Draw(t, "event") {
+	case 0:
+		if !b.cut {
+			b.generation = uint64(len(m.sets) - 1)
+		}
+	case 1:
+		b.cut = true
+	case 2:
+		if b.runs(m.now) && b.listed {
+			b.cut = false
+		}
+	case 3:
+		if b.cut && b.listed {
+			b.listed, b.unlisted = false, m.now
+		}
+	case 4:
+		m.now += time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second
+	}
+	for _, b := range m.balancers {
+		if !b.cut {
+			b.reported, b.heard = b.generation, m.now
+		}
+	}
+}
+
+// Guards against an accepted publish that gives a target address to a service
+// while any balancer that may still run sends packets of another one there.
+func TestAddressReuseNeverCrosses(t *testing.T) {
+	moves := 0
+	rapid.Check(t, func(t *rapid.T) {
+		p := newTestPublisher(newFakeStore())
+		m := &reuseModel{sets: []objects.Set{{}}}
+		for range 3 {
+			m.balancers = append(m.balancers, &modelBalancer{listed: true})
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "event first") {
+				m.step(t)
+			}
+			var targets []string
+			for address := 1; address <= 2; address++ {
+				if pool := rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "pool"); pool != "" {
+					targets = append(targets, fmt.Sprintf("%s:%d", pool, address))
+				}
+			}
+			plan, err := p.Plan(ctx, Request{Set: twoServices(targets...), Operator: "ann"}, m.fleet())
+			assert.NilError(t, err)
+			if r := p.Commit(ctx, plan); r.Outcome != OutcomeAccepted || r.Repeated {
+				continue
+			}
+			m.sets = append(m.sets, plan.after)
+			assert.Equal(t, len(m.crossings()), 0, "%v", m.crossings())
+			if len(targets) > 0 {
+				moves++
+			}
+		}
+	})
+	assert.Assert(t, moves > 100, "only %d publishes with targets were accepted", moves)
+}
