--- a/internal/protocol/gre.go
+++ b/internal/protocol/gre.go
@@ -40,6 +40,15 @@
 	return append(dst, inner...)
 }
 
+// AppendKeepalive appends a GRE header without key, protocol and inner packet.
+// The fabric sends it to a balancer, which echoes it while it takes packets.
+func AppendKeepalive(dst []byte) []byte { return append(dst, 0, 0, 0, 0) }
+
+// IsKeepalive reports whether a datagram is a keepalive.
+func IsKeepalive(datagram []byte) bool {
+	return len(datagram) == GREHeaderBytes && binary.BigEndian.Uint32(datagram) == 0
+}
+
 // AppendRelay appends inner with a GRE header whose key field holds the hop
 // count (1 to MaxHops) and the truncated hash. key comes from NewRelayKey.
 func AppendRelay(dst, inner []byte, hops uint8, key []byte) []byte {
--- a/internal/standin/fabric/members.go
+++ b/internal/standin/fabric/members.go
@@ -2,20 +2,19 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
-	"sync"
 	"time"
 
-	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
 )
 
-// member is one balancer of the VM list with the result of its checks.
+// member is one balancer of the VM list with the state of its keepalives.
 type member struct {
-	party   party
-	listed  bool
+	party  party
+	listed bool
+	// pending is the number of keepalives since the last answer.
+	pending int
 	answers bool
-	misses  int
 }
 
 // Run carries packets until ctx ends.
@@ -25,11 +24,11 @@
 		f.receive()
 		close(received)
 	}()
-	client := &http.Client{Timeout: f.options.Keepalive * time.Duration(f.options.Misses)}
 	ticker := time.NewTicker(f.options.Keepalive)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		f.checkMembers(ctx, client)
+		f.readList(ctx)
+		f.sendKeepalives()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -39,52 +38,14 @@
 	<-received
 }
 
-// checkMembers reads the VM list and checks each balancer on it. While the
-// platform gives no answer, the last list stays in use.
-func (f *Fabric) checkMembers(ctx context.Context, client *http.Client) {
-	vms, err := f.options.Store.VMs(ctx)
-	if err == nil {
-		f.setList(vms)
-	} else {
-		vms = f.listed()
-	}
-	round, cancel := context.WithTimeout(ctx, f.options.Keepalive)
+// readList reads the VM list. While the platform gives no answer, the last list stays in use.
+func (f *Fabric) readList(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, f.options.Keepalive)
 	defer cancel()
-	var checks sync.WaitGroup
-	for _, vm := range vms {
-		checks.Go(func() { f.record(vm, check(round, client, vm)) })
-	}
-	checks.Wait()
-	f.refreshLive()
-}
-
-// checkResult is the answer of a balancer to a keepalive.
-type checkResult uint8
-
-const (
-	checkSilent checkResult = iota
-	checkReady
-	checkRefused
-)
-
-// check asks a balancer whether it takes packets: any answer below 500 means yes, others no.
-func check(ctx context.Context, client *http.Client, vm platform.VM) checkResult {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Control.String()+"/health", nil)
-	if err != nil {
-		return checkSilent
-	}
-	response, err := client.Do(request)
+	vms, err := f.options.Store.VMs(call)
 	if err != nil {
-		return checkSilent
+		return
 	}
-	response.Body.Close()
-	if response.StatusCode >= http.StatusInternalServerError {
-		return checkRefused
-	}
-	return checkReady
-}
-
-func (f *Fabric) setList(vms []platform.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.members {
@@ -99,34 +60,38 @@
 		m.party = party{name: vm.Name, place: vm.Place, addr: vm.Data}
 		m.listed = !vm.Leaving
 	}
-	f.vms = vms
 }
 
-func (f *Fabric) listed() []platform.VM {
+// sendKeepalives asks each balancer on the list whether it takes packets. One that
+// missed several is sent none until it answers again.
+func (f *Fabric) sendKeepalives() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.vms
+	keepalive := protocol.AppendKeepalive(nil)
+	for address, m := range f.members {
+		if !m.listed {
+			continue
+		}
+		if m.pending >= f.options.Misses {
+			m.answers = false
+		}
+		m.pending++
+		f.send(address, keepalive)
+	}
+	f.refreshLive()
 }
 
-func (f *Fabric) record(vm platform.VM, result checkResult) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := f.members[vm.Data]
-	switch result {
-	case checkReady:
-		m.answers, m.misses = true, 0
-	case checkRefused:
-		m.answers = false
-	case checkSilent:
-		m.misses++
-		m.answers = m.answers && m.misses < f.options.Misses
+// handleKeepalive notes the answer of a balancer.
+func (f *Fabric) handleKeepalive(m *member) {
+	m.pending = 0
+	if !m.answers {
+		m.answers = true
+		f.refreshLive()
 	}
 }
 
 // refreshLive rebuilds the list of balancers that receive packets.
 func (f *Fabric) refreshLive() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	live := make([]party, 0, len(f.members))
 	for _, m := range f.members {
 		if m.listed && m.answers {
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -103,6 +103,12 @@
 	return r.queued
 }
 
+func (r *record) connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.data.ConnectionsOpen
+}
+
 func (r *record) report() Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/transport/balancer.go
+++ b/internal/transport/balancer.go
@@ -60,6 +60,8 @@
 	stats    *stats
 	// fabricSeen is the time of the last packet from the fabric, in nanoseconds since the Unix epoch.
 	fabricSeen atomic.Int64
+	// leaving stops the answers to keepalives of the fabric.
+	leaving atomic.Bool
 }
 
 // New opens the data socket of a balancer. Packets are read once Run is called.
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -72,6 +72,10 @@
 func (w *worker) handle(now time.Time, datagram []byte, from netip.AddrPort) {
 	w.b.stats.receivedPackets.Add(1)
 	w.b.stats.receivedBytes.Add(int64(len(datagram)))
+	if protocol.IsKeepalive(datagram) {
+		w.answerKeepalive(from)
+		return
+	}
 	inner, hops, relayed, err := protocol.DecodeGRE(datagram, w.b.relayKey)
 	if err != nil {
 		w.b.stats.drop(err.Error())
@@ -100,6 +104,22 @@
 	}
 }
 
+// answerKeepalive tells the fabric that this balancer takes packets. A balancer
+// without configuration, or one that leaves, stays silent, and the fabric sends to others.
+func (w *worker) answerKeepalive(from netip.AddrPort) {
+	if from != w.b.settings.FabricAddress {
+		w.b.stats.drop(reasonNotFabric)
+		return
+	}
+	if w.b.leaving.Load() || w.b.table.Load() == nil {
+		return
+	}
+	w.out = protocol.AppendKeepalive(w.out[:0])
+	if reason := w.send(from); reason != "" {
+		w.b.stats.drop(reason)
+	}
+}
+
 // checkSource names the reason to drop a datagram because of its sender, or returns "".
 func (b *Balancer) checkSource(now time.Time, from netip.AddrPort, relayed bool) string {
 	if relayed {
