--- a/internal/protocol/decode.go
+++ b/internal/protocol/decode.go
@@ -45,17 +45,19 @@
 	if len(inner) < ipv4HeaderBytes || inner[0]>>4 != 4 {
 		return Packet{}, ErrIPv4Header
 	}
-	d.ip.Length, d.ip.FragOffset, d.ip.Flags, d.ip.Protocol = 0, 0, 0, 0
-	err := d.parser.DecodeLayers(inner, &d.decoded)
+	// The library takes length 0 as a packet that the network card will cut up.
+	total := int(binary.BigEndian.Uint16(inner[ipv4LengthOffset:]))
+	if total < ipv4HeaderBytes || total > len(inner) {
+		return Packet{}, ErrIPv4Header
+	}
+	d.ip.FragOffset, d.ip.Flags, d.ip.Protocol = 0, 0, 0
+	err := d.parser.DecodeLayers(inner[:total], &d.decoded)
 	if len(d.decoded) == 0 {
 		return Packet{}, ErrIPv4Header
 	}
 	if d.ip.FragOffset != 0 || d.ip.Flags&layers.IPv4MoreFragments != 0 {
 		return Packet{}, ErrFragment
 	}
-	if int(d.ip.Length) > len(inner) {
-		return Packet{}, ErrIPv4Header
-	}
 	if len(d.decoded) < 2 {
 		return Packet{}, d.transportError()
 	}
--- a/internal/protocol/decode_test.go
+++ b/internal/protocol/decode_test.go
@@ -109,6 +109,8 @@
 		"version 6":        {change(0, 0x65), ErrIPv4Header},
 		"header too long":  {change(0, 0x4f), ErrIPv4Header},
 		"length too long":  {change(2, 0xff, 0xff), ErrIPv4Header},
+		"length zero":      {change(2, 0, 0), ErrIPv4Header},
+		"length too short": {change(2, 0, 19), ErrIPv4Header},
 		"first fragment":   {change(6, 0x20, 0), ErrFragment},
 		"later fragment":   {change(6, 0, 9), ErrFragment},
 		"sctp":             {change(9, 132), ErrTransport},
--- a/internal/protocol/rewrite.go
+++ b/internal/protocol/rewrite.go
@@ -4,6 +4,7 @@
 
 // Offsets of fields in the IPv4, TCP, UDP and ICMP headers.
 const (
+	ipv4LengthOffset      = 2
 	ipv4ProtocolOffset    = 9
 	ipv4ChecksumOffset    = 10
 	ipv4SourceOffset      = 12
