Bound the share of learned flows in the flow table

Cause: each balancer learns every flow whose return packets it sees and keeps it for the idle timeout of 15 minutes. With 800 balancers a stream with one packet per second leaves copies at two thirds of them; 8.2 million flows would be about 5.5 million entries on each, and a full table drops the openers of the balancer's own services. Ruled out: a lower idle timeout for all entries, which would break idle flows at owner and backup. Change: learned copies use at most half of the table, and above a quarter their lifetime shrinks to 10 s. Before: TestLearnedFlowsLeaveRoomForOpeners saw 2,048 of 2,048 entries in use. After: 1,024. Conclusion: tables below a quarter, as today's, behave as before.

--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -113,7 +113,7 @@
 
 // learnWeak binds the flow to the target that a balancer without part in the shard sees.
 func (d *Dispatcher) learnWeak(c *packetContext) {
-	if d.options.Variant == VariantNoLearn || d.options.Variant == VariantBounded {
+	if d.options.Variant == VariantNoLearn || d.options.Variant == VariantBounded || !d.mayLearn(c) {
 		return
 	}
 	d.bindWeak(c)
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -82,6 +82,8 @@
 		return min(askingTime, d.options.IdleTimeout)
 	case halfOpen(e):
 		return min(halfOpenTime, d.options.IdleTimeout)
+	case isLearned(e):
+		return d.learnedLifetime()
 	}
 	return d.options.IdleTimeout
 }
