Run planned changes and killed balancers with separate processes

Change: testscript commands that start a fleet of balancers, targets and callers on a loopback address of its own (ports that are free at the start could be taken before a balancer that joins later binds them), publish changes, send signals, and compare the callers' reports with the targets'. At most three scripts run at once, because a balancer without processor time for 1 s counts as frozen.

--- /dev/null
+++ b/internal/scenario/fleet_test.go
@@ -0,0 +1,238 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/standin/target"
+)
+
+const (
+	fleetKey   = "00112233445566778899aabbccddeeff"
+	fleetValue = "fleet"
+
+	platformPort     = 7400
+	fabricPort       = 7500
+	fabricHTTPPort   = 7501
+	firstControlPort = 7600
+	firstDataPort    = 7700
+	firstDebugPort   = 7800
+	firstHealthPort  = 7900
+	firstCallerPort  = 8000
+)
+
+var placeNames = []string{"pl-a", "pl-b", "pl-c"}
+
+// targetObject is a target of the configuration.
+type targetObject struct {
+	Name    string `json:"name"`
+	Pool    string `json:"pool"`
+	Place   string `json:"place"`
+	Address string `json:"address"`
+	Port    int    `json:"port"`
+	Weight  int    `json:"weight,omitempty"`
+	Drain   bool   `json:"drain,omitempty"`
+	Health  string `json:"health"`
+	// published tells whether the configuration has the target.
+	published bool
+	// last is the latest report that was read.
+	last target.Report
+}
+
+// fleet is the set of processes of one script.
+type fleet struct {
+	// host is a loopback address of its own, so that no other process takes a
+	// port that a balancer needs later.
+	host      string
+	processes map[string]*process
+	vms       []string
+	targets   []*targetObject
+	callers   []string
+	// connections is the limit of each target of quote-desk.
+	connections int
+}
+
+var fleets atomic.Int32
+
+func newFleet() *fleet {
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%250, pid%256, fleets.Add(1))
+	return &fleet{host: host, processes: map[string]*process{}, connections: 2000}
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetValue).(*fleet) }
+
+func (f *fleet) at(port int) string { return fmt.Sprintf("%s:%d", f.host, port) }
+
+// start runs a process under a name that may be used again after it exited.
+func (f *fleet) start(ts *testscript.TestScript, name string, args ...string) {
+	if p := f.processes[name]; p != nil && !p.hasExited() {
+		ts.Fatalf("%s runs already", name)
+	}
+	f.processes[name] = startProcess(ts, name, args...)
+}
+
+func (f *fleet) process(ts *testscript.TestScript, name string) *process {
+	p := f.processes[name]
+	if p == nil {
+		ts.Fatalf("no process %s", name)
+	}
+	return p
+}
+
+// number returns N of a name such as vm-N.
+func number(ts *testscript.TestScript, name string) int {
+	n, err := strconv.Atoi(name[strings.LastIndex(name, "-")+1:])
+	ts.Check(err)
+	return n
+}
+
+func placeOf(n int) string { return placeNames[(n-1)%len(placeNames)] }
+
+// fleetCommand starts everything: fleet BALANCERS TARGETS SPARES [CONNECTIONS]. The
+// last SPARES targets of quote-desk run and are not in the configuration yet.
+// CONNECTIONS is the limit of each target of quote-desk, above which the balancers refuse.
+func fleetCommand(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	ts.Setenv("FABRIC_HTTP", f.at(fabricHTTPPort))
+	ts.Check(os.WriteFile(ts.MkAbs("fleet.key"), []byte(fleetKey), 0o600))
+	f.start(ts, "platform", "standin", "platform", "--listen", f.at(platformPort))
+	f.start(ts, "fabric", "standin", "fabric", "--listen", f.at(fabricPort), "--http", f.at(fabricHTTPPort),
+		"--platform", "http://"+f.at(platformPort))
+	awaitAnswer(ts, addrPort(ts, f.at(platformPort)))
+	awaitAnswer(ts, addrPort(ts, f.at(fabricHTTPPort)))
+	balancers, targets, spares := number(ts, args[0]), number(ts, args[1]), number(ts, args[2])
+	if len(args) > 3 {
+		f.connections = number(ts, args[3])
+	}
+	for n := range targets {
+		f.startTarget(ts, "quote-desk", "quotes", fmt.Sprintf("quote-%d", n+1), n < targets-spares)
+	}
+	f.startTarget(ts, "stock-registry", "stocks", "stock-1", true)
+	f.startTarget(ts, "stock-registry", "stocks", "stock-2", true)
+	for n := range balancers {
+		f.startBalancer(ts, fmt.Sprintf("vm-%d", n+1))
+	}
+	for _, vm := range f.vms {
+		awaitAnswer(ts, addrPort(ts, f.control(ts, vm)))
+	}
+	f.publish(ts)
+	awaitLive(ts, f.at(fabricHTTPPort), balancers)
+}
+
+// startTarget runs one target in a process of its own.
+func (f *fleet) startTarget(ts *testscript.TestScript, service, pool, name string, published bool) {
+	n := len(f.targets) + 1
+	t := &targetObject{
+		Name: name, Pool: pool, Place: placeOf(n), Address: fmt.Sprintf("10.1.0.%d", n), Port: 4433,
+		Health: f.at(firstHealthPort + n), published: published,
+	}
+	f.targets = append(f.targets, t)
+	f.start(ts, name, "standin", "target", "--fabric", f.at(fabricPort), "--place", t.Place, "--service", service,
+		"--target", fmt.Sprintf("%s=%s:%d", name, t.Address, t.Port), "--health", t.Health)
+	awaitAnswer(ts, addrPort(ts, t.Health))
+}
+
+func (f *fleet) control(ts *testscript.TestScript, vm string) string {
+	return f.at(firstControlPort + number(ts, vm))
+}
+
+func (f *fleet) data(ts *testscript.TestScript, vm string) string {
+	return f.at(firstDataPort + number(ts, vm))
+}
+
+func (f *fleet) debug(ts *testscript.TestScript, vm string) string {
+	return f.at(firstDebugPort + number(ts, vm))
+}
+
+// writeSettings writes the settings file of a balancer and returns its name.
+func (f *fleet) writeSettings(ts *testscript.TestScript, vm, key string) string {
+	settings := map[string]any{
+		"vm": vm, "place": placeOf(number(ts, vm)), "fleet_key": key,
+		"data_address": f.data(ts, vm), "control_address": f.control(ts, vm), "debug_address": f.debug(ts, vm),
+		"fabric_address": f.at(fabricPort),
+		// The user name lets the platform cut off single VMs.
+		"platform_url": fmt.Sprintf("http://%s@%s", vm, f.at(platformPort)),
+		"seeds":        f.running(ts),
+	}
+	writeJSON(ts, vm+".json", settings)
+	return vm + ".json"
+}
+
+// startBalancer runs a balancer and puts its VM on the platform's list.
+func (f *fleet) startBalancer(ts *testscript.TestScript, vm string) {
+	settings := f.writeSettings(ts, vm, fleetKey)
+	if !slices.Contains(f.vms, vm) {
+		f.vms = append(f.vms, vm)
+	}
+	put(ts, f.at(platformPort)+"/test/vms/"+vm, platform.VM{
+		Name: vm, Place: placeOf(number(ts, vm)),
+		Data: addrPort(ts, f.data(ts, vm)), Control: addrPort(ts, f.control(ts, vm)),
+	})
+	f.start(ts, vm, "balancer", "--config", settings)
+}
+
+// running returns the control addresses of the balancers that take requests.
+func (f *fleet) running(ts *testscript.TestScript) []string {
+	addresses := []string{}
+	for _, vm := range f.vms {
+		if f.processes[vm].answers() {
+			addresses = append(addresses, f.control(ts, vm))
+		}
+	}
+	return addresses
+}
+
+// operator returns the options of an operator command that asks a balancer.
+func (f *fleet) operator(ts *testscript.TestScript) []string {
+	args := []string{"--fleet-key-file", "fleet.key"}
+	for _, address := range f.running(ts) {
+		args = append(args, "--balancer", address)
+	}
+	return args
+}
+
+// publish publishes the configuration and waits until it is in force everywhere.
+func (f *fleet) publish(ts *testscript.TestScript) {
+	ts.Check(ts.Exec("kumquatworks", f.publishArgs(ts)...))
+}
+
+func (f *fleet) publishArgs(ts *testscript.TestScript) []string {
+	f.writeConfiguration(ts)
+	args := []string{"publish", "conf.json", "--yes", "--platform", "http://" + f.at(platformPort)}
+	return append(args, f.operator(ts)...)
+}
+
+func (f *fleet) writeConfiguration(ts *testscript.TestScript) {
+	places := []map[string]any{}
+	for _, name := range placeNames {
+		places = append(places, map[string]any{"name": name})
+	}
+	published := slices.DeleteFunc(slices.Clone(f.targets), func(t *targetObject) bool { return !t.published })
+	writeJSON(ts, "conf.json", map[string]any{
+		"places": places,
+		"services": []map[string]any{
+			{"name": "quote-desk", "address": "10.0.0.1", "port": 443, "protocol": "quic", "pool": "quotes", "weight": "high"},
+			{"name": "stock-registry", "address": "10.0.0.2", "port": 443, "protocol": "quic", "pool": "stocks"},
+		},
+		"pools": []map[string]any{
+			{"name": "quotes", "slots": 2, "connections": f.connections, "ramp_seconds": 1},
+			{"name": "stocks", "slots": 2, "connections": 2000, "ramp_seconds": 1},
+		},
+		"targets": published,
+	})
+}
+
+func writeJSON(ts *testscript.TestScript, name string, v any) {
+	data, err := json.Marshal(v)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(name), data, 0o600))
+}
--- /dev/null
+++ b/internal/scenario/process_test.go
@@ -0,0 +1,93 @@
+package scenario
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// process is one process of a scenario. Its output goes to the files NAME.out
+// and NAME.err of the script's directory.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	out    string
+	exited chan struct{}
+	// stopped is set between SIGSTOP and SIGCONT.
+	stopped bool
+}
+
+// startProcess starts kumquatworks. The process is killed at the end of the script.
+func startProcess(ts *testscript.TestScript, name string, args ...string) *process {
+	p := &process{name: name, out: ts.MkAbs(name + ".out"), exited: make(chan struct{})}
+	p.cmd = exec.Command(programPath(ts), args...)
+	p.cmd.Dir = ts.MkAbs(".")
+	stdout, err := os.Create(p.out)
+	ts.Check(err)
+	defer stdout.Close()
+	stderr, err := os.Create(ts.MkAbs(name + ".err"))
+	ts.Check(err)
+	defer stderr.Close()
+	p.cmd.Stdout, p.cmd.Stderr = stdout, stderr
+	ts.Check(p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait() // the exit code is read from the process state
+		close(p.exited)
+	}()
+	ts.Defer(func() {
+		_ = p.cmd.Process.Kill() // fails when the process has exited
+		<-p.exited
+	})
+	return p
+}
+
+// programPath finds the program in the directory that testscript puts first in the path.
+func programPath(ts *testscript.TestScript) string {
+	return filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], "kumquatworks")
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+func (p *process) signal(ts *testscript.TestScript, name string) {
+	ts.Check(p.cmd.Process.Signal(signals[name]))
+	p.stopped = name == "STOP"
+}
+
+// answers reports whether the process takes requests.
+func (p *process) answers() bool { return p != nil && !p.stopped && !p.hasExited() }
+
+// awaitExit returns the exit code.
+func (p *process) awaitExit(ts *testscript.TestScript) int {
+	select {
+	case <-p.exited:
+	case <-time.After(pollLimit):
+		ts.Fatalf("%s: did not exit within %s", p.name, pollLimit)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) hasExited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// stdout returns what the process printed.
+func (p *process) stdout(ts *testscript.TestScript) []byte {
+	data, err := os.ReadFile(p.out)
+	ts.Check(err)
+	return bytes.TrimSpace(data)
+}
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"maps"
 	"net/netip"
 	"os"
 	"regexp"
@@ -19,16 +20,47 @@
 	})
 }
 
+// scriptsAtOnce bounds the scripts that run at the same time. Each starts up to 25
+// processes, and a balancer that gets no processor for 1 s counts as frozen.
+const scriptsAtOnce = 3
+
+// boundedT limits the scripts that run at the same time.
+type boundedT struct {
+	*testing.T
+	tokens chan struct{}
+}
+
+// Parallel implements testscript.T.
+func (t boundedT) Parallel() {
+	t.T.Parallel()
+	t.tokens <- struct{}{}
+	t.Cleanup(func() { <-t.tokens })
+}
+
+// Run implements testscript.T.
+func (t boundedT) Run(name string, run func(testscript.T)) {
+	t.T.Run(name, func(sub *testing.T) { run(boundedT{sub, t.tokens}) })
+}
+
+// Verbose implements testscript.T.
+func (t boundedT) Verbose() bool { return testing.Verbose() }
+
 // TestScripts runs the scripts of testdata. Each script says what it guards against.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports":   portsCommand,
-			"expand":  expandCommand,
-			"answers": answersCommand,
-			"live":    liveCommand,
-			"report":  reportCommand,
+	commands := map[string]func(*testscript.TestScript, bool, []string){
+		"ports":   portsCommand,
+		"expand":  expandCommand,
+		"answers": answersCommand,
+		"live":    liveCommand,
+		"report":  reportCommand,
+	}
+	maps.Copy(commands, fleetCommands)
+	testscript.RunT(boundedT{t, make(chan struct{}, scriptsAtOnce)}, testscript.Params{
+		Dir:  "testdata",
+		Cmds: commands,
+		Setup: func(env *testscript.Env) error {
+			env.Values[fleetValue] = newFleet()
+			return nil
 		},
 	})
 }
