Admit openers again once a peer confirmed the view after a freeze

Cause: a balancer that was stopped (SIGSTOP) for less time than the others take to declare it dead, or whose own view did not change meanwhile, dropped all openers of its services as "frozen" for the whole hold-off of 3 s, although a peer had answered. The dispatcher waited for a new view, and an unchanged view is not set again. Callers back off meanwhile.

Ruled out: a failed exchange after the freeze (view_err was null at every freeze in the logs); losses at the fabric (it sent to all 7 balancers 50 ms after the wake-up, and the packet trace shows the drops at the owner).

Change: Core has ConfirmView, which the transport calls when Refresh succeeded. Refresh returns only after a changed view was passed on, so the order is safe. Refusals stay held off.

Openers that meet a full pool during the hold-off still stay unanswered, as the design says.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -45,7 +45,7 @@
 
 	// holdUntil is the end of the hold-off after a start or a freeze.
 	holdUntil time.Time
-	// frozen is set after a freeze until a view arrives or the hold-off ends.
+	// frozen is set after a freeze until a view arrives or is confirmed, or the hold-off ends.
 	frozen bool
 	record decisionRecord
 }
@@ -132,6 +132,15 @@
 	d.holdUntil = now.Add(d.options.HoldOff)
 }
 
+// ConfirmView ends the wait for a view after a freeze. A view that did not
+// change during the freeze is not set again, so the wait would otherwise last
+// as long as the hold-off. Refusals stay held off.
+func (d *Dispatcher) ConfirmView() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.frozen = false
+}
+
 // Flows returns the number of flow table entries.
 func (d *Dispatcher) Flows() int {
 	d.mu.Lock()
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -54,6 +54,8 @@
 	SetReports(now time.Time, reports []TargetReport)
 	// Freeze tells that this balancer was frozen until now.
 	Freeze(now time.Time)
+	// ConfirmView tells, after a freeze, that a peer confirmed the view or that there is no peer.
+	ConfirmView()
 	// Tick expires flows and pending decisions.
 	Tick(now time.Time)
 	// Handoff returns up to limit bindings that other balancers must learn before this one leaves.
--- a/internal/transport/control/operator.go
+++ b/internal/transport/control/operator.go
@@ -145,7 +145,8 @@
 }
 
 // Refresh asks peers for the view, for use after a freeze. It succeeds with
-// the first answer, and at once when no peer is known.
+// the first answer, and at once when no peer is known. A view that differs from
+// the one before was passed to OnView when it returns.
 func (p *Plane) Refresh(ctx context.Context) error {
 	var peers []netip.AddrPort
 	if err := p.do(ctx, func(time.Time) { peers = p.agent.Peers(refreshPeers) }); err != nil {
@@ -154,11 +155,14 @@
 	var err error
 	for _, addr := range peers {
 		if err = p.exchange(ctx, addr); err == nil {
-			return nil
+			return p.settle(ctx)
 		}
 	}
 	return err
 }
 
+// settle returns when the loop has carried out what earlier requests changed.
+func (p *Plane) settle(ctx context.Context) error { return p.do(ctx, func(time.Time) {}) }
+
 // refreshPeers is the number of peers tried by Refresh.
 const refreshPeers = 3
--- a/internal/transport/freeze.go
+++ b/internal/transport/freeze.go
@@ -46,6 +46,9 @@
 	wait, cancel := context.WithTimeout(ctx, b.settings.Timers.ViewWait.Duration())
 	defer cancel()
 	err := b.plane.Refresh(wait)
+	if err == nil {
+		b.core.ConfirmView()
+	}
 	b.resumeReads()
 	b.gate.open(b.now())
 	b.stats.count(groupFreeze, "discarded", int64(discarded))
--- a/internal/transport/freeze_test.go
+++ b/internal/transport/freeze_test.go
@@ -28,12 +28,25 @@
 	assert.Equal(t, core.handled.Load(), int64(0))
 	assert.Equal(t, core.freezes.Load(), int64(1))
 	assert.Equal(t, h.plane.refreshed.Load(), int64(1))
+	assert.Equal(t, core.confirmed.Load(), int64(1))
 
 	h.send(h.fabric, datagram, datagram, datagram)
 	h.waitCount("drop", "test", 3)
 	assert.Equal(t, h.b.Counter(groupFreeze, "freezes"), int64(1))
 }
 
+// Guards against admissions with a stale view when no peer answered after a freeze.
+func TestFreezeWithoutAnswerConfirmsNothing(t *testing.T) {
+	core := &fakeCore{}
+	h := newHarness(t, core)
+	h.plane.silent.Store(true)
+	h.run()
+	h.clock.advance(5 * time.Second)
+	h.waitCount(groupFreeze, "freezes", 1)
+	assert.Equal(t, h.plane.refreshed.Load(), int64(1))
+	assert.Equal(t, core.confirmed.Load(), int64(0))
+}
+
 // Guards against a reader that waited in the socket before the freeze and takes
 // its packet for a fresh one, and against readers that stay locked out.
 func TestFreezeWhileReading(t *testing.T) {
--- a/internal/transport/harness_test.go
+++ b/internal/transport/harness_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -30,9 +31,10 @@
 // a decision it drops the packet for the reason "test".
 type fakeCore struct {
 	coordination.Core
-	answer  atomic.Pointer[coordination.Decision]
-	handled atomic.Int64
-	freezes atomic.Int64
+	answer    atomic.Pointer[coordination.Decision]
+	handled   atomic.Int64
+	freezes   atomic.Int64
+	confirmed atomic.Int64
 }
 
 func (c *fakeCore) Handle(time.Time, coordination.Ingress) coordination.Decision {
@@ -52,15 +54,24 @@
 func (c *fakeCore) Tick(time.Time)                       {}
 func (c *fakeCore) Flows() int                           { return 0 }
 func (c *fakeCore) Freeze(time.Time)                     { c.freezes.Add(1) }
+func (c *fakeCore) ConfirmView()                         { c.confirmed.Add(1) }
 
 // fakePlane is a control plane without peers.
 type fakePlane struct {
 	refreshed atomic.Int64
 	left      atomic.Int64
+	// silent makes Refresh fail.
+	silent atomic.Bool
 }
 
-func (p *fakePlane) Run(ctx context.Context) error   { <-ctx.Done(); return nil }
-func (p *fakePlane) Refresh(context.Context) error   { p.refreshed.Add(1); return nil }
+func (p *fakePlane) Run(ctx context.Context) error { <-ctx.Done(); return nil }
+func (p *fakePlane) Refresh(context.Context) error {
+	p.refreshed.Add(1)
+	if p.silent.Load() {
+		return errors.New("no peer answers")
+	}
+	return nil
+}
 func (p *fakePlane) Leave(ctx context.Context) error { p.left.Add(1); return nil }
 
 // clock moves only when a test says so. A busy machine therefore does not look
