Close a feed's stream when the target ends the feed

Cause: the caller stand-in closed its side of an ended feed only at the end of the session, although the format says that it closes after the whole answer. A target that stopped gracefully therefore waited its full grace time of 20 s for the confirmation of feeds.

Ruled out: requests in progress that delay the stop (all were answered).

Change: the caller closes its side when the end message arrives. A mutex keeps that apart from an echo that is being written, and a failed echo on an ended feed is no fault.

--- a/internal/standin/caller/feed.go
+++ b/internal/standin/caller/feed.go
@@ -22,6 +22,9 @@
 	echoes  chan uint64
 	done    chan struct{}
 
+	// writing keeps the end of the stream apart from a write in progress.
+	writing sync.Mutex
+
 	mu     sync.Mutex
 	asked  uint64
 	ended  bool
@@ -95,6 +98,7 @@
 			f.mu.Lock()
 			f.ended = true
 			f.mu.Unlock()
+			f.closeStream()
 			return
 		case message.Echo > 0:
 			f.caller.add(func(r *Report) { r.Echoes++ })
@@ -123,7 +127,7 @@
 	f.asked++
 	number := f.asked
 	f.mu.Unlock()
-	if err := exchange.WriteLine(f.stream, exchange.Message{ID: f.request.ID, Echo: number}); err != nil {
+	if err := f.write(exchange.Message{ID: f.request.ID, Echo: number}); err != nil {
 		f.failEcho(err)
 		return
 	}
@@ -138,11 +142,25 @@
 	}
 }
 
+func (f *Feed) write(message exchange.Message) error {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	return exchange.WriteLine(f.stream, message)
+}
+
+// closeStream tells the target that the whole feed arrived, or that the caller ends it.
+func (f *Feed) closeStream() {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	_ = f.stream.Close() // fails when the stream was reset, which read notices
+}
+
 // failEcho counts a failed write as broken, unless the target has ended the feed.
 func (f *Feed) failEcho(err error) {
-	select {
-	case <-f.done:
-	default:
+	f.mu.Lock()
+	ended := f.ended
+	f.mu.Unlock()
+	if !ended {
 		f.fail(err)
 	}
 }
@@ -156,7 +174,7 @@
 	if !f.isDone() {
 		f.Echo()
 	}
-	f.stream.Close()
+	f.closeStream()
 	select {
 	case <-f.done:
 	case <-time.After(answerTimeout):
