Run graceful stops, outages, cut-off places and refused traffic as processes

Change: four scripts and the commands that they need.

- graceful: a caller, a target and the owner stop with requests of 300 ms in progress, then a target and the next owner at once.
- outage: one balancer alone can read the platform when a target is drained, and the platform fails as soon as that balancer has the new generation.
A balancer restarts during the outage.
- partition: pl-a serves alone without platform, then the other places alone with a publish, then both meet again.
- hostile: an operator and a balancer with a wrong fleet key, malformed and forged packets at the data port, malformed messages at the control port (UDP and TCP), and malformed inner packets from the fabric, at three balancers.

Limit: nothing cuts the traffic between two balancers, so in partition each side is stopped (SIGSTOP) while the other one serves. They do not serve at the same time.

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -34,6 +34,11 @@
 	"whole":    wholeCommand,
 	"truthful": truthfulCommand,
 	"refused":  refusedCommand,
+	"outage":   outageCommand,
+	"mark":     markCommand,
+	"nonew":    noNewCommand,
+	"stranger": strangerCommand,
+	"garbage":  garbageCommand,
 }
 
 // balancerCommand starts balancers: balancer VM...
@@ -98,6 +103,7 @@
 // endedCommand waits until processes exited with code 0: ended NAME...
 func endedCommand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
+		fleetOf(ts).followReports(ts, name)
 		if code := fleetOf(ts).process(ts, name).awaitExit(ts); code != 0 {
 			ts.Fatalf("%s: exit code %d: %s", name, code, ts.ReadFile(name+".err"))
 		}
@@ -172,13 +178,21 @@
 		minimum = float64(number(ts, args[2]))
 	}
 	address := fleetOf(ts).debug(ts, args[0])
-	await(ts, strings.Join(args, " "), func() bool { return variable(ts, address, args[1]) >= minimum })
+	await(ts, strings.Join(args, " "), func() bool { return variable(address, args[1]) >= minimum })
 }
 
-// variable reads a number below "kumquatworks" in /debug/vars, 0 if there is none.
-func variable(ts *testscript.TestScript, address, path string) float64 {
+// variable reads a number below "kumquatworks" in /debug/vars, 0 if there is
+// none or the balancer does not answer yet.
+func variable(address, path string) float64 {
+	response, err := http.Get("http://" + address + "/debug/vars")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
 	var value any
-	ts.Check(json.Unmarshal([]byte(getText(ts, address+"/debug/vars")), &value))
+	if json.NewDecoder(response.Body).Decode(&value) != nil {
+		return 0
+	}
 	for _, key := range append([]string{"kumquatworks"}, strings.Split(path, ".")...) {
 		object, _ := value.(map[string]any)
 		value = object[key]
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -45,6 +45,8 @@
 	published bool
 	// last is the latest report that was read.
 	last target.Report
+	// marked is the number of connections that the target had when the script marked it.
+	marked uint64
 }
 
 // fleet is the set of processes of one script.
@@ -103,6 +105,7 @@
 func fleetCommand(ts *testscript.TestScript, _ bool, args []string) {
 	f := fleetOf(ts)
 	ts.Setenv("FABRIC_HTTP", f.at(fabricHTTPPort))
+	ts.Setenv("CONTROL", f.at(firstControlPort+1))
 	ts.Check(os.WriteFile(ts.MkAbs("fleet.key"), []byte(fleetKey), 0o600))
 	f.start(ts, "platform", "standin", "platform", "--listen", f.at(platformPort))
 	f.start(ts, "fabric", "standin", "fabric", "--listen", f.at(fabricPort), "--http", f.at(fabricHTTPPort),
--- a/internal/scenario/verdict_test.go
+++ b/internal/scenario/verdict_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"slices"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -109,3 +111,39 @@
 	}
 	return t.last
 }
+
+// followReports reads the reports of a target that stops until it has exited.
+func (f *fleet) followReports(ts *testscript.TestScript, name string) {
+	i := slices.IndexFunc(f.targets, func(t *targetObject) bool { return t.Name == name })
+	if i < 0 {
+		return
+	}
+	await(ts, name+" exits", func() bool {
+		if response, err := http.Get("http://" + f.targets[i].Health + "/test/report"); err == nil {
+			var r target.Report
+			if json.NewDecoder(response.Body).Decode(&r) == nil {
+				f.targets[i].last = r
+			}
+			response.Body.Close()
+		}
+		return f.process(ts, name).hasExited()
+	})
+}
+
+// markCommand notes the number of connections that a target took: mark TARGET
+func markCommand(ts *testscript.TestScript, _ bool, args []string) {
+	t := fleetOf(ts).target(ts, args[0])
+	t.marked = fleetOf(ts).targetReport(ts, t).ConnectionsTotal
+}
+
+// noNewCommand fails if a target took a connection since it was marked: nonew TARGET
+func noNewCommand(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	t := f.target(ts, args[0])
+	if t.marked == 0 {
+		ts.Fatalf("target %s: was not marked, or had no connection then", t.Name)
+	}
+	if n := f.targetReport(ts, t).ConnectionsTotal - t.marked; n > 0 {
+		ts.Fatalf("target %s: %d new connections", t.Name, n)
+	}
+}
