Keep requests out of openers and refuse no plain UDP flow

Cause: early data was removed only for services that are not idempotent, so an opener could carry a request to a target and a later refusal of it would be false. A plain UDP datagram may be a request itself. It was refused, and after 2 s a late copy of it was admitted.

Change: a TCP SYN with data is dropped and QUIC 0-RTT packets are removed for every service. A QUIC datagram that holds nothing else is dropped by its new property ZeroRTTOnly. Before, 0-RTT behind a Handshake packet dropped the whole datagram. A plain UDP service sends no refusal: the datagram is dropped with the reason no-target-udp, and refusedTimeUDP is gone.

An opener that replaced an entry and found no target during the hold-off was uncounted again with every copy. The entry is now stored without its count.

Ruled out: 0-RTT removal for plain UDP services. Their datagrams may look like QUIC and are requests in any case.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -45,7 +45,7 @@
 	e := &c.entry
 	switch same := c.sameConnection(); {
 	case e.Has(state.FlagRefused):
-		if c.staysRefused() {
+		if same {
 			return d.refuse(c, ReasonRefused)
 		}
 		return d.admit(c)
@@ -154,10 +154,11 @@
 	if d.blocked(c.now) {
 		return drop(ReasonFrozen)
 	}
-	earlier := c.entry
-	if c.known {
+	if c.entry.Has(state.FlagCounted) {
 		d.uncount(c.service, c.flow, &c.entry)
+		d.flows.Put(c.flow, c.entry) // the earlier entry stays if no target has room
 	}
+	earlier := c.entry
 	c.entry = state.Entry{}
 	target := d.choose(c, nil)
 	if target == nil {
--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -14,10 +14,11 @@
 // fromCaller decides about a packet of a caller.
 func (d *Dispatcher) fromCaller(c *packetContext) Decision {
 	p := &c.in.Packet
-	if p.SynData && !c.service.Idempotent {
+	// An opener must not carry a request, since it may reach two targets or be refused.
+	if p.SynData {
 		return drop(ReasonSynData)
 	}
-	if p.ZeroRTT && p.Kind != protocol.KindOpener && !c.service.Idempotent {
+	if p.ZeroRTTOnly && c.service.Protocol == objects.ProtocolQUIC {
 		return drop(ReasonZeroRTT)
 	}
 	if d.options.Variant == VariantHash {
@@ -89,9 +90,6 @@
 	if c.service.Protocol == objects.ProtocolUDP {
 		return true
 	}
-	if p.ZeroRTT && c.sameConnection() {
-		return true
-	}
 	if !e.Has(state.FlagAnswered) {
 		return false
 	}
--- a/internal/coordination/handle.go
+++ b/internal/coordination/handle.go
@@ -134,7 +134,7 @@
 		Action:       ActionForward,
 		Endpoint:     target,
 		Reason:       r,
-		StripZeroRTT: c.in.Packet.ZeroRTT && !c.service.Idempotent,
+		StripZeroRTT: c.in.Packet.ZeroRTT && c.service.Protocol == objects.ProtocolQUIC,
 	}
 }
 
--- a/internal/coordination/reason.go
+++ b/internal/coordination/reason.go
@@ -41,6 +41,7 @@
 	ReasonOpenerReset      Reason = "opener-reset"
 	ReasonTableFull        Reason = "flow-table-full"
 	ReasonUnknownFlow      Reason = "unknown-flow"
+	ReasonNoTargetUDP      Reason = "no-target-udp"
 
 	// Refused.
 	ReasonNoTarget Reason = "no-target"
--- a/internal/coordination/refusal.go
+++ b/internal/coordination/refusal.go
@@ -8,10 +8,6 @@
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
-// refusedTimeUDP is how long a refused flow without tags stays refused, so that
-// a duplicate of the refused datagram does not run.
-const refusedTimeUDP = 2 * time.Second
-
 // blocked reports whether this balancer was frozen and has no view yet. Without
 // a peer no view arrives, so the hold-off ends it too.
 func (d *Dispatcher) blocked(now time.Time) bool {
@@ -28,8 +24,13 @@
 }
 
 // refuse tells the caller that its opener did not run. The refusal is
-// remembered, so that a late duplicate of the opener is not admitted.
+// remembered, so that a late duplicate of the opener is not admitted. A plain
+// UDP datagram may be a request, and nothing identifies a late copy of it that
+// could still run, so it is dropped instead.
 func (d *Dispatcher) refuse(c *packetContext, r Reason) Decision {
+	if c.service.Protocol == objects.ProtocolUDP {
+		return drop(ReasonNoTargetUDP)
+	}
 	if d.holdsOff(c) {
 		return drop(ReasonHoldOff)
 	}
@@ -49,14 +50,6 @@
 	return Decision{Action: ActionRefuse, Reason: r}
 }
 
-// staysRefused reports whether an opener may be a duplicate of the one that was refused.
-func (c *packetContext) staysRefused() bool {
-	if c.service.Protocol == objects.ProtocolUDP {
-		return c.stamp.Since(c.entry.Created) < refusedTimeUDP
-	}
-	return c.sameConnection()
-}
-
 // repeatOpener decides about another copy of an opener that its target has not
 // answered. No packet beyond the opener was forwarded, so nothing ran there.
 func (d *Dispatcher) repeatOpener(c *packetContext) Decision {
--- a/internal/protocol/decode_test.go
+++ b/internal/protocol/decode_test.go
@@ -39,7 +39,7 @@
 	v1Handshake := quicLong(quicVersion1, 2, 0xd1, 0x51, 30)
 	quic := func(kind Kind, zero bool, payload ...[]byte) (Packet, []byte) {
 		data := join(payload...)
-		return Packet{Transport: TransportUDP, Kind: kind, Tag: 0xd1d1d1d1, HasTag: true, SourceTag: 0x51515151, ZeroRTT: zero, PayloadBytes: len(data)}, BuildUDP(caller, service, data)
+		return Packet{Transport: TransportUDP, Kind: kind, Tag: 0xd1d1d1d1, HasTag: true, SourceTag: 0x51515151, ZeroRTT: zero, ZeroRTTOnly: zero && kind == KindHandshake && len(payload) == 1, PayloadBytes: len(data)}, BuildUDP(caller, service, data)
 	}
 	tcp := func(want Packet, s Segment) (Packet, []byte) {
 		want.Transport = TransportTCP
@@ -72,6 +72,7 @@
 		"v2 retry":           of(quic(KindHandshake, false, quicLong(quicVersion2, 0, 0xd1, 0x51, 40))),
 		"initial, 0-rtt":     of(quic(KindOpener, true, v1Initial, v1ZeroRTT)),
 		"0-rtt, initial":     of(quic(KindOpener, true, v1ZeroRTT, v1Initial)),
+		"handshake, 0-rtt":   of(quic(KindHandshake, true, v1Handshake, v1ZeroRTT)),
 		"handshake, short":   of(quic(KindHandshake, false, v1Handshake, []byte("\x41abcd"))),
 		"initial, padding":   of(quic(KindOpener, false, v1Initial, make([]byte, 1000))),
 		"initial, handshake": of(quic(KindHandshake, false, v1Initial, v1Handshake)),
--- a/internal/protocol/packet.go
+++ b/internal/protocol/packet.go
@@ -109,6 +109,8 @@
 	SynData bool
 	// ZeroRTT reports a QUIC 0-RTT packet in the datagram, alone or coalesced.
 	ZeroRTT bool
+	// ZeroRTTOnly reports that the datagram holds nothing but QUIC 0-RTT packets.
+	ZeroRTTOnly bool
 	// PayloadBytes is the length of the transport payload in bytes.
 	PayloadBytes int
 }
--- a/internal/protocol/quic.go
+++ b/internal/protocol/quic.go
@@ -132,6 +132,7 @@
 		payload = payload[next.length:]
 	}
 	later = later || isShort(payload)
+	p.ZeroRTTOnly = p.ZeroRTT && !initial && !later
 	p.Kind = KindHandshake
 	if initial && !later {
 		p.Kind = KindOpener
