Test service separation on an unreliable network

The fake network gets loss, duplicates, late copies, frozen balancers, and views and tables of each balancer's own. Targets and callers behave more like transports: a retransmitted request runs once in a connection, a response has two parts, resets and late packets of earlier connections are recognised by their tags, and callers reuse their port.

Crossings are now checked at each balancer against the latest table, up to the one in force there, that has the target, in both directions. Before, the check used the service that the stand-in target had at the end.

--- a/internal/coordination/endpoints_test.go
+++ b/internal/coordination/endpoints_test.go
@@ -14,6 +14,8 @@
 type fakeConn struct {
 	openerTag, answerTag uint32
 	established          bool
+	// ran are the requests that ran; a retransmitted one gets its answer again.
+	ran map[int]bool
 }
 
 // fakeTarget answers openers, runs requests and resets packets without a connection.
@@ -25,27 +27,36 @@
 	quic      bool
 	dead      bool
 	resetting bool
-	conns     map[protocol.FlowKey]*fakeConn
-	runs      map[int]int
+	// mute is the share of openers that stay unanswered.
+	mute  float64
+	conns map[protocol.FlowKey]*fakeConn
 }
 
 func newFakeTarget(f *fleet, t *state.Target) *fakeTarget {
 	return &fakeTarget{
 		f: f, self: t.Endpoint, service: t.Service.Address.Endpoint, place: t.Place,
 		quic:  t.Service.Protocol != objects.ProtocolTCP,
-		conns: make(map[protocol.FlowKey]*fakeConn), runs: make(map[int]int),
+		conns: make(map[protocol.FlowKey]*fakeConn),
 	}
 }
 
 func (t *fakeTarget) send(key protocol.FlowKey, kind protocol.Kind, tag, sourceTag uint32, body int) {
-	p := protocol.Packet{
-		Source: t.self, Destination: key.Caller, Transport: key.Transport,
-		Kind: kind, Tag: tag, HasTag: true, SourceTag: sourceTag,
+	t.sendMessage(key, message{packet: protocol.Packet{Kind: kind, Tag: tag, HasTag: true, SourceTag: sourceTag}, body: body})
+}
+
+func (t *fakeTarget) sendMessage(key protocol.FlowKey, m message) {
+	m.packet.Source, m.packet.Destination, m.packet.Transport = t.self, key.Caller, key.Transport
+	if m.body > 0 {
+		m.packet.PayloadBytes = 500
 	}
-	if body > 0 {
-		p.PayloadBytes = 500
+	t.f.send(t.place, m)
+}
+
+// reset answers a packet with a reset, which QUIC targets do not send.
+func (t *fakeTarget) reset(key protocol.FlowKey, tag uint32) {
+	if !t.quic {
+		t.sendMessage(key, message{packet: protocol.Packet{Kind: protocol.KindReset, HasTag: true}, echo: tag})
 	}
-	t.f.send(message{packet: p, body: body})
 }
 
 func (t *fakeTarget) receive(m message) {
@@ -55,78 +66,121 @@
 	switch {
 	case t.dead:
 	case p.Kind == protocol.KindReset:
-		delete(t.conns, key)
+		if conn != nil && m.echo == conn.openerTag {
+			delete(t.conns, key)
+		}
 	case p.Kind == protocol.KindOpener:
-		t.open(key, conn, p.Tag)
+		t.open(key, conn, m)
 	case conn == nil || !conn.established && p.Tag != conn.answerTag:
-		if !t.quic {
-			t.send(key, protocol.KindReset, 0, 0, 0)
-		}
+		t.reset(key, p.Tag)
+	case p.Tag != conn.answerTag: // a late packet of an earlier connection
 	case p.Kind == protocol.KindFin:
 		delete(t.conns, key)
-		t.send(key, protocol.KindFin, 0, 0, 0)
+		t.send(key, protocol.KindFin, conn.openerTag+1, 0, 0)
 	default:
 		conn.established = true
-		if m.body > 0 {
-			t.runs[m.body]++
-			t.send(key, protocol.KindData, conn.openerTag+1, 0, m.body)
-		}
+		t.run(key, conn, m.body)
 	}
 }
 
-func (t *fakeTarget) open(key protocol.FlowKey, conn *fakeConn, tag uint32) {
-	t.f.noteWork(t.self)
-	if t.resetting {
-		t.send(key, protocol.KindReset, 0, 0, 0)
+// run executes a request once in a connection and sends the response in parts.
+func (t *fakeTarget) run(key protocol.FlowKey, conn *fakeConn, body int) {
+	if body == 0 {
 		return
 	}
-	if conn != nil && conn.established && conn.openerTag != tag {
+	if !conn.ran[body] {
+		conn.ran[body] = true
+		t.f.runs[request{key, body}]++
+	}
+	for part := range responseParts {
+		t.sendMessage(key, message{packet: protocol.Packet{Kind: protocol.KindData, Tag: conn.openerTag + 1, HasTag: true}, body: body, part: part})
+	}
+}
+
+func (t *fakeTarget) open(key protocol.FlowKey, conn *fakeConn, m message) {
+	tag := m.packet.Tag
+	t.f.noteWork(t.self)
+	switch {
+	case t.resetting:
+		t.reset(key, tag)
+		return
+	case t.mute > 0 && t.f.rng.Float64() < t.mute:
+		return
+	case !t.quic && conn != nil && conn.established && conn.openerTag != tag:
 		t.send(key, protocol.KindData, conn.openerTag+1, 0, 0)
 		return
 	}
 	if conn == nil || conn.openerTag != tag {
-		conn = &fakeConn{openerTag: tag, answerTag: t.f.rng.Uint32() | 1}
+		conn = &fakeConn{openerTag: tag, answerTag: t.f.rng.Uint32() | 1, ran: make(map[int]bool)}
 		t.conns[key] = conn
 	}
 	if t.quic {
 		t.send(key, protocol.KindHandshake, tag, conn.answerTag, 0)
-		return
+	} else {
+		t.send(key, protocol.KindOpenerAnswer, conn.answerTag, tag, 0)
 	}
-	t.send(key, protocol.KindOpenerAnswer, conn.answerTag, tag, 0)
+	t.run(key, conn, m.body)
 }
 
+// responseParts is the number of packets of a response.
+const responseParts = 2
+
 // fakeCaller is one connection of a caller.
 type fakeCaller struct {
 	f     *fleet
 	key   protocol.FlowKey
+	place string
 	quic  bool
 	opens uint32
+	// early, unless 0, is a request that openers carry.
+	early int
+	// patience is the number of copies of an opener, sent at intervals of wait.
+	patience int
+	wait     time.Duration
 
 	openerTag, answerTag                uint32
 	opened, established, reset, refused bool
 	closed                              bool
-	got                                 map[int]int
-	foreign                             int
+	// former are the opener tags of all connections; asked are the requests of the present one.
+	former map[uint32]bool
+	asked  map[int]bool
+	parts  map[int]int
+	got    map[int]int
+	// foreign counts packets that belong to no connection of the caller or answer no request of the present one.
+	foreign int
 }
 
 // newCaller makes a caller of a service; it sends nothing yet.
 func (f *fleet) newCaller(service int, number int) *fakeCaller {
-	s := f.set.Services[service]
-	ip := netip.AddrFrom4([4]byte{172, byte(16 + service), byte(number >> 8), byte(number)})
 	c := &fakeCaller{
 		f:    f,
-		quic: s.Protocol != objects.ProtocolTCP,
+		quic: f.set.Services[service].Protocol != objects.ProtocolTCP,
+		key:  f.newFlow(service, number),
 		got:  make(map[int]int),
-		key: protocol.FlowKey{
-			Caller:    protocol.NewEndpoint(netip.AddrPortFrom(ip, 40000)),
-			Service:   protocol.NewEndpoint(netip.AddrPortFrom(s.Address, s.Port)),
-			Transport: s.Protocol.Transport(),
-		},
+
+		former:   make(map[uint32]bool),
+		patience: 5,
+		wait:     1200 * time.Millisecond,
 	}
 	f.callers[c.key] = c
 	return c
 }
 
+// newFlow returns the flow of a caller by its number.
+func (f *fleet) newFlow(service, number int) protocol.FlowKey {
+	s := f.set.Services[service]
+	ip := netip.AddrFrom4([4]byte{172, byte(16 + service), byte(number >> 8), byte(number)})
+	return protocol.FlowKey{
+		Caller:    protocol.NewEndpoint(netip.AddrPortFrom(ip, 40000)),
+		Service:   protocol.NewEndpoint(netip.AddrPortFrom(s.Address, s.Port)),
+		Transport: s.Protocol.Transport(),
+	}
+}
+
+func endpointOf(t objects.Target) protocol.Endpoint {
+	return protocol.NewEndpoint(netip.AddrPortFrom(t.Address, t.Port))
+}
+
 func (c *fakeCaller) packet(kind protocol.Kind, tag uint32, body int) message {
 	p := protocol.Packet{
 		Source: c.key.Caller, Destination: c.key.Service, Transport: c.key.Transport,
@@ -142,38 +196,54 @@
 func (c *fakeCaller) open() {
 	c.opens++
 	c.openerTag = c.f.rng.Uint32()
+	c.former[c.openerTag] = true
+	c.asked, c.parts = make(map[int]bool), make(map[int]int)
 	c.opened, c.established, c.reset, c.refused, c.closed = true, false, false, false, false
-	c.repeat(c.openerTag, 1200*time.Millisecond, 5)
+	c.repeat(c.openerTag, c.wait, c.patience)
 }
 
 func (c *fakeCaller) repeat(tag uint32, wait time.Duration, left int) {
 	if c.established || c.refused || c.reset || c.openerTag != tag || left == 0 {
 		return
 	}
-	c.f.send(c.packet(protocol.KindOpener, tag, 0))
+	c.sendOpener(left == c.patience)
 	c.f.after(wait, func() { c.repeat(tag, wait, left-1) })
 }
 
-func (c *fakeCaller) request(body int) { c.f.send(c.packet(protocol.KindData, c.answerTag, body)) }
+// sendOpener adds early data as transports do: to each QUIC Initial, and to the first TCP SYN only.
+func (c *fakeCaller) sendOpener(first bool) {
+	m := c.packet(protocol.KindOpener, c.openerTag, 0)
+	if c.early > 0 && (c.quic || first) {
+		m = c.packet(protocol.KindOpener, c.openerTag, c.early)
+		m.packet.SynData, m.packet.ZeroRTT = !c.quic, c.quic
+		c.asked[c.early] = true
+	}
+	c.f.send(c.place, m)
+}
+
+func (c *fakeCaller) request(body int) {
+	c.asked[body] = true
+	c.f.send(c.place, c.packet(protocol.KindData, c.answerTag, body))
+}
 
 // ask sends a request and repeats it, as a transport would, until it is answered.
-func (c *fakeCaller) ask(body int) { c.askAgain(body, 200*time.Millisecond, 7) }
+func (c *fakeCaller) ask(body int) { c.askAgain(c.openerTag, body, 200*time.Millisecond, 7) }
 
-func (c *fakeCaller) askAgain(body int, wait time.Duration, left int) {
-	if c.got[body] > 0 || c.reset || left == 0 {
+func (c *fakeCaller) askAgain(tag uint32, body int, wait time.Duration, left int) {
+	if c.got[body] > 0 || c.reset || c.openerTag != tag || left == 0 {
 		return
 	}
 	c.request(body)
-	c.f.after(wait, func() { c.askAgain(body, 2*wait, left-1) })
+	c.f.after(wait, func() { c.askAgain(tag, body, 2*wait, left-1) })
 }
 
 func (c *fakeCaller) close() {
 	c.closed = true
-	c.f.send(c.packet(protocol.KindFin, c.answerTag, 0))
+	c.f.send(c.place, c.packet(protocol.KindFin, c.answerTag, 0))
 }
 
-func (c *fakeCaller) refuse() {
-	if !c.established {
+func (c *fakeCaller) refuse(tag uint32) {
+	if !c.established && tag == c.openerTag {
 		c.refused = true
 	}
 }
@@ -182,16 +252,43 @@
 	p := m.packet
 	switch {
 	case p.Kind == protocol.KindReset:
-		c.reset = c.reset || !c.closed
+		c.resetBy(m.echo)
 	case p.Kind == protocol.KindOpenerAnswer || p.Kind == protocol.KindHandshake:
 		c.answer(p)
-	case p.Tag != c.openerTag+1:
+	case p.Tag != c.openerTag+1 && c.former[p.Tag-1]:
+		c.lateArrival(p)
+	case p.Tag != c.openerTag+1 || m.body > 0 && !c.asked[m.body]:
 		c.foreign++
 	case m.body > 0:
-		c.got[m.body]++
+		c.take(m)
+	}
+}
+
+// take notes one part of a response. The response counts once all parts are there.
+func (c *fakeCaller) take(m message) {
+	c.parts[m.body] |= 1 << m.part
+	if c.parts[m.body] == 1<<responseParts-1 {
+		c.got[m.body] = 1
 	}
 }
 
+// lateArrival handles a packet of an earlier connection. A TCP caller that is
+// opening resets the old connection, which its target still holds.
+func (c *fakeCaller) lateArrival(p protocol.Packet) {
+	if c.quic || c.established || c.refused || p.PayloadBytes > 0 {
+		return
+	}
+	m := c.packet(protocol.KindReset, 0, 0)
+	m.packet.HasTag, m.echo = false, p.Tag-1
+	c.f.send(c.place, m)
+}
+
+// resetBy takes a reset that answers a packet of the present connection.
+func (c *fakeCaller) resetBy(echo uint32) {
+	own := !c.established && echo == c.openerTag || c.established && echo == c.answerTag
+	c.reset = c.reset || own && !c.closed
+}
+
 func (c *fakeCaller) answer(p protocol.Packet) {
 	tag, acknowledged := p.Tag, p.SourceTag
 	if c.quic {
@@ -208,7 +305,7 @@
 	if c.quic {
 		kind = protocol.KindHandshake
 	}
-	c.f.send(c.packet(kind, c.answerTag, 0))
+	c.f.send(c.place, c.packet(kind, c.answerTag, 0))
 }
 
 // testService describes one service of a test configuration.
--- /dev/null
+++ b/internal/coordination/faults_test.go
@@ -0,0 +1,105 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+// faults are what the network does to packets, and which balancers are frozen.
+type faults struct {
+	loss, duplicate float64
+	// late bounds how long a duplicate stays behind.
+	late time.Duration
+	// frozen balancers lose their packets, as a balancer that wakes discards its backlog.
+	frozen map[string]bool
+}
+
+// request identifies a request of a caller; a retry has the same body.
+type request struct {
+	flow protocol.FlowKey
+	body int
+}
+
+// connection identifies one connection on a flow by the tag of its opener.
+type connection struct {
+	flow protocol.FlowKey
+	tag  uint32
+}
+
+// connectionOf returns the connection of an opener of a caller.
+func connectionOf(m message) connection {
+	p := &m.packet
+	return connection{protocol.FlowKey{Caller: p.Source, Service: p.Destination, Transport: p.Transport}, p.Tag}
+}
+
+// hop takes a packet over one link, which may lose or duplicate it.
+func (f *fleet) hop(arrive func()) {
+	if f.duplicate > 0 && f.rng.Float64() < f.duplicate {
+		f.after(f.latency()+time.Duration(f.rng.Int64N(int64(f.late))), arrive)
+	}
+	if f.loss > 0 && f.rng.Float64() < f.loss {
+		return
+	}
+	f.after(f.latency(), arrive)
+}
+
+// unreliable makes the network lose, duplicate, delay and reorder packets.
+func (f *fleet) unreliable() {
+	f.loss, f.duplicate = 0.02, 0.05
+	f.jitter, f.late = 5*time.Millisecond, 400*time.Millisecond
+}
+
+// checkCrossing checks P2: the latest table, up to the one in force at the
+// balancer, that has the target must give it to the service.
+func (f *fleet) checkCrossing(vm string, service, target protocol.Endpoint, transport uint8) {
+	for i := len(f.tables) - 1; i >= 0; i-- {
+		if f.tables[i].Generation > f.inForce[vm].Generation {
+			continue
+		}
+		if t := f.tables[i].Target(state.Address{Endpoint: target, Transport: transport}); t != nil {
+			if t.Service.Address.Endpoint != service {
+				f.crossings++
+			}
+			return
+		}
+	}
+	f.crossings++
+}
+
+// noteRefusal checks P4 at its strictest: no target received the opener.
+func (f *fleet) noteRefusal(m message) {
+	f.refusals++
+	if f.openers[connectionOf(m)] {
+		f.falseRefusals++
+	}
+}
+
+// doubleRuns returns the number of requests that ran more than once.
+func (f *fleet) doubleRuns() int {
+	doubles := 0
+	for _, n := range f.runs {
+		if n > 1 {
+			doubles++
+		}
+	}
+	return doubles
+}
+
+// setViewOf gives one balancer a view of its own.
+func (f *fleet) setViewOf(vm string, members []Member) {
+	f.nodes[vm].SetView(f.now, View{Members: members})
+}
+
+// learnView gives the present members to all balancers, each at a time of its own within a span.
+func (f *fleet) learnView(from, to time.Duration) {
+	members := append([]Member(nil), f.members...)
+	for _, m := range members {
+		f.after(from+time.Duration(f.rng.Int64N(int64(to-from))), func() {
+			if f.nodes[m.VM] != nil && !f.frozen[m.VM] {
+				f.setViewOf(m.VM, members)
+			}
+		})
+	}
+}
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -19,6 +19,10 @@
 type message struct {
 	packet protocol.Packet
 	body   int
+	// part is the piece of a response.
+	part int
+	// echo is the tag in the packet that a reset answers; endpoints ignore a reset without their own.
+	echo uint32
 }
 
 type event struct {
@@ -56,18 +60,29 @@
 	order   int
 	options Options
 
+	faults
 	nodes   map[string]*Dispatcher
 	members []Member
 	started int
 	// spray are the balancers that the fabric sends packets to.
-	spray   []string
-	set     objects.Set
-	table   *state.Table
+	spray []string
+	set   objects.Set
+	table *state.Table
+	// tables are all published tables; inForce is the latest of each balancer.
+	tables  []*state.Table
+	inForce map[string]*state.Table
 	targets map[protocol.Endpoint]*fakeTarget
 	callers map[protocol.FlowKey]*fakeCaller
 
 	packets, relays, crossings int
 	reasons                    map[Reason]int
+	// runs counts the executions of each request; openers are the connections whose opener was forwarded.
+	runs    map[request]int
+	openers map[connection]bool
+	// falseRefusals are refusals of an opener that any balancer had forwarded.
+	refusals, falseRefusals int
+	// onForward, if set, sees each packet that a balancer forwards.
+	onForward func(vm string, d Decision, m message)
 	// work notes when a target received an opener, by target.
 	work map[protocol.Endpoint]time.Time
 	// cut tells which pairs of places cannot reach each other.
@@ -86,7 +101,11 @@
 		reasons: make(map[Reason]int),
 		work:    make(map[protocol.Endpoint]time.Time),
 		cut:     make(map[[2]string]bool),
+		inForce: make(map[string]*state.Table),
+		runs:    make(map[request]int),
+		openers: make(map[connection]bool),
 	}
+	f.frozen = make(map[string]bool)
 	f.set = set
 	f.publish(set)
 	for range balancers {
@@ -112,7 +131,7 @@
 	o.Self, o.Place = m.VM, m.Place
 	f.members = append(f.members, m)
 	f.nodes[m.VM] = NewDispatcher(o)
-	f.nodes[m.VM].AdoptTable(f.now, f.table)
+	f.adopt(m.VM, f.table)
 	f.spray = append(f.spray, m.VM)
 	return m.VM
 }
@@ -140,6 +159,12 @@
 	}
 }
 
+// addMember starts a balancer that the others see at once.
+func (f *fleet) addMember() {
+	f.addNode()
+	f.setView()
+}
+
 func (f *fleet) setView() {
 	for _, m := range f.members {
 		f.nodes[m.VM].SetView(f.now, View{Members: f.members})
@@ -148,25 +173,38 @@
 
 // publish puts a configuration in force at all balancers.
 func (f *fleet) publish(set objects.Set) {
-	generation := uint64(1)
-	if f.table != nil {
-		generation = f.table.Generation + 1
+	table := f.newTable(set)
+	f.prepare(set, table)
+	for _, vm := range f.spray {
+		f.adopt(vm, table)
 	}
+}
+
+func (f *fleet) newTable(set objects.Set) *state.Table {
+	generation := uint64(len(f.tables) + 1)
 	table, err := state.NewTable(generation, fmt.Sprint(generation), set)
 	assert.NilError(f.t, err)
+	return table
+}
+
+// prepare makes a table known without putting it in force.
+func (f *fleet) prepare(set objects.Set, table *state.Table) {
 	f.set, f.table = set, table
-	for _, vm := range f.spray {
-		f.nodes[vm].AdoptTable(f.now, table)
-	}
+	f.tables = append(f.tables, table)
 	table.Services(func(s *state.Service) {
 		for _, t := range s.Targets {
-			if f.targets[t.Endpoint] == nil {
+			if old := f.targets[t.Endpoint]; old == nil || old.service != s.Address.Endpoint {
 				f.targets[t.Endpoint] = newFakeTarget(f, t)
 			}
 		}
 	})
 }
 
+func (f *fleet) adopt(vm string, table *state.Table) {
+	f.inForce[vm] = table
+	f.nodes[vm].AdoptTable(f.now, table)
+}
+
 // handOff delivers handoffs of all balancers until none is left, and returns how many bindings they held.
 func (f *fleet) handOff() int {
 	total := 0
@@ -206,7 +244,9 @@
 	for t := f.now.Add(100 * time.Millisecond); !t.After(end); t = t.Add(100 * time.Millisecond) {
 		f.runUntil(t)
 		for _, vm := range f.spray {
-			f.nodes[vm].Tick(f.now)
+			if !f.frozen[vm] {
+				f.nodes[vm].Tick(f.now)
+			}
 		}
 	}
 	f.runUntil(end)
@@ -221,11 +261,17 @@
 	f.now = end
 }
 
-// send gives a packet to the fabric, which sends it to a random balancer.
-func (f *fleet) send(m message) { f.sendVia(f.spray[f.rng.IntN(len(f.spray))], m) }
+// send gives a packet from a place to the fabric, which sends it to a random balancer that the place reaches.
+func (f *fleet) send(place string, m message) {
+	reached := f.spray
+	if len(f.cut) > 0 {
+		reached = keep(f.spray, func(vm string) bool { return !f.cut[[2]string{place, f.placeOf(vm)}] })
+	}
+	f.sendVia(reached[f.rng.IntN(len(reached))], m)
+}
 
 func (f *fleet) sendVia(vm string, m message) {
-	f.after(f.latency(), func() { f.deliver(vm, m, 0, netip.AddrPort{}) })
+	f.hop(func() { f.deliver(vm, m, 0, netip.AddrPort{}) })
 }
 
 func (f *fleet) placeOf(vm string) string {
@@ -239,7 +285,7 @@
 
 func (f *fleet) deliver(vm string, m message, hops uint8, from netip.AddrPort) {
 	node := f.nodes[vm]
-	if node == nil {
+	if node == nil || f.frozen[vm] {
 		return
 	}
 	assert.Assert(f.t, hops <= maxHops)
@@ -253,12 +299,29 @@
 	case ActionRelay:
 		f.relay(vm, d, m, hops)
 	case ActionForward:
-		f.checkCrossing(m.packet.Destination, d.Endpoint)
-		if target := f.targets[d.Endpoint]; target != nil && !f.cut[[2]string{f.placeOf(vm), target.place}] {
-			f.after(f.latency(), func() { target.receive(m) })
-		}
-	case ActionReturn, ActionRefuse:
-		f.toCaller(d, m)
+		f.forward(vm, d, m)
+	case ActionReturn:
+		f.checkCrossing(vm, d.Endpoint, m.packet.Source, m.packet.Transport)
+		f.toCaller(vm, d, m)
+	case ActionRefuse:
+		f.noteRefusal(m)
+		f.toCaller(vm, d, m)
+	}
+}
+
+func (f *fleet) forward(vm string, d Decision, m message) {
+	f.checkCrossing(vm, m.packet.Destination, d.Endpoint, m.packet.Transport)
+	if f.onForward != nil {
+		f.onForward(vm, d, m)
+	}
+	if d.StripZeroRTT {
+		m.packet.ZeroRTT, m.body = false, 0
+	}
+	if m.packet.Kind == protocol.KindOpener {
+		f.openers[connectionOf(m)] = true
+	}
+	if target := f.targets[d.Endpoint]; target != nil && !f.cut[[2]string{f.placeOf(vm), target.place}] {
+		f.hop(func() { target.receive(m) })
 	}
 }
 
@@ -267,44 +330,37 @@
 	from := f.nodes[vm].members[vm].Data
 	for _, peer := range f.members {
 		if peer.Data == d.Peer && !f.cut[[2]string{f.placeOf(vm), peer.Place}] {
-			f.after(f.latency(), func() { f.deliver(peer.VM, m, hops+1, from) })
+			f.hop(func() { f.deliver(peer.VM, m, hops+1, from) })
 		}
 	}
 }
 
-func (f *fleet) toCaller(d Decision, m message) {
+func (f *fleet) toCaller(vm string, d Decision, m message) {
 	key := protocol.FlowKey{Caller: m.packet.Source, Service: m.packet.Destination, Transport: m.packet.Transport}
 	if d.Action == ActionReturn {
 		key = protocol.FlowKey{Caller: m.packet.Destination, Service: d.Endpoint, Transport: m.packet.Transport}
 	}
 	caller := f.callers[key]
-	if caller == nil {
+	if caller == nil || f.cut[[2]string{f.placeOf(vm), caller.place}] {
 		return
 	}
 	if d.Action == ActionRefuse {
-		f.after(f.latency(), caller.refuse)
+		f.hop(func() { caller.refuse(m.packet.Tag) })
 		return
 	}
-	f.after(f.latency(), func() { caller.receive(m) })
-}
-
-// checkCrossing checks P2: the pair must be in the configuration in force, or
-// the target must have left it.
-func (f *fleet) checkCrossing(service, target protocol.Endpoint) {
-	t := f.targets[target]
-	if t == nil || t.service != service {
-		f.crossings++
-	}
+	f.hop(func() { caller.receive(m) })
 }
 
+// cancel resets a half-open connection of a target. The reset echoes the tag of
+// the opener, which a packet of a target acknowledges.
 func (f *fleet) cancel(target protocol.Endpoint, p protocol.Packet) {
-	caller, service := p.Source, p.Destination
+	caller, service, echo := p.Source, p.Destination, p.Tag
 	if f.targets[p.Source] != nil {
-		caller, service = p.Destination, f.targets[p.Source].service
+		caller, service, echo = p.Destination, f.targets[p.Source].service, p.SourceTag
 	}
 	reset := protocol.Packet{Source: caller, Destination: service, Transport: p.Transport, Kind: protocol.KindReset}
 	if t := f.targets[target]; t != nil {
-		f.after(f.latency(), func() { t.receive(message{packet: reset}) })
+		f.hop(func() { t.receive(message{packet: reset, echo: echo}) })
 	}
 }
 
