Keep answers whole when callers reuse ports and views differ

Causes, each found from the packets of one flow:

- A caller that reuses a port without a close resets the old connection and repeats its SYN.
A reset is now matched by its sequence number.
- A backup with a binding of its own, from a time when it was the owner in its own view, dropped what the owner had let pass and reset the right target.
It now follows the owner, and only an owner resets losing targets.
- A late answer to an earlier opener replaced the answer tag.
Such an answer is now passed on without effect; if a TCP caller acknowledges it, the flow moves to that target.
- Weak bindings had no answer tag and took the first caller packet for their own.
TCP sequence numbers of the target now give them the tag.
- A reset that answered a stray packet reached the caller when its target was the bound one.
Its sequence number shows that it does not belong.
- A caller packet on an unanswered binding was dropped as contradicted, though no answer tag stood against it.
It now goes to that target and to other balancers in turn.
- Turns followed the clock, and retransmissions with doubling intervals met the same turns again and again.
The turns are now counted or random.

The stand-in caller of the experiments echoed a wrong QUIC connection ID in answers; it now echoes the caller's own.

--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -159,7 +159,7 @@
 	if !c.known || !c.entry.Bound() {
 		return d.unknown(c)
 	}
-	if !c.agreesAtEnd() {
+	if !c.agreesAtEnd() || c.resetsEarlier() {
 		return d.forward(c, c.entry.Target, ReasonUncertain)
 	}
 	repeated := c.entry.Has(state.FlagCallerFin | state.FlagClosed)
@@ -179,6 +179,15 @@
 	return probe.agrees()
 }
 
+// resetsEarlier reports whether a TCP caller resets an earlier connection on the
+// flow while its opener is unanswered: it does so when the target answers for
+// that connection, and then repeats the opener.
+func (c *packetContext) resetsEarlier() bool {
+	e, p := &c.entry, &c.in.Packet
+	pending := halfOpen(e) || e.Has(state.FlagReopened)
+	return p.Kind == protocol.KindReset && pending && e.Has(state.FlagOpenerTag) && p.SourceTag != e.OpenerTag+1
+}
+
 // markEnd notes the end of one direction, or of the flow.
 func (d *Dispatcher) markEnd(c *packetContext, fin state.Flags) {
 	e, kind := &c.entry, c.in.Packet.Kind
@@ -190,6 +199,11 @@
 	both := e.Has(state.FlagCallerFin) && e.Has(state.FlagTargetFin)
 	if kind == protocol.KindReset || both {
 		e.Set(state.FlagClosed)
+		// With another opener unanswered, this may be the end of the earlier
+		// connection, so a copy of the opener must be admitted.
+		if e.Has(state.FlagReopened) {
+			e.Clear(state.FlagOpenerTag | state.FlagReopened)
+		}
 	}
 	// A caller that closes its side before any response may still wait for one.
 	if isAbort(kind) || byTarget || e.Has(state.FlagReturned) {
--- a/internal/coordination/conflict.go
+++ b/internal/coordination/conflict.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
@@ -16,8 +17,8 @@
 		return ReasonWrongGuess
 	case d.cancelled(c):
 		return ReasonCancelled
-	case e.Has(state.FlagClosed):
-		d.adopt(c)
+	case e.Has(state.FlagClosed), e.Has(state.FlagReopened) && c.isAnswer():
+		d.adopt(c) // the bound target holds an earlier connection only
 		return ""
 	case e.Strength == state.StrengthTentative:
 		return d.conflictOnTentative(c)
@@ -33,7 +34,9 @@
 func (d *Dispatcher) conflictOnTentative(c *packetContext) Reason {
 	e, p := &c.entry, &c.in.Packet
 	if c.isAnswer() && e.Has(state.FlagAnswered) {
-		d.noteRival(c)
+		if c.service.Protocol == objects.ProtocolQUIC {
+			d.noteRival(c)
+		}
 		return ReasonForeignAnswer
 	}
 	d.note(c, ActionReturn, p.Source, ReasonReturn)
--- a/internal/coordination/endpoints_test.go
+++ b/internal/coordination/endpoints_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -16,6 +15,18 @@
 	established          bool
 	// ran are the requests that ran; a retransmitted one gets its answer again.
 	ran map[int]bool
+	// earlier is another connection on the same flow; QUIC targets tell them apart by their ids.
+	earlier *fakeConn
+}
+
+// find returns the connection for which ok holds, or the latest.
+func (conn *fakeConn) find(ok func(*fakeConn) bool) *fakeConn {
+	for x := conn; x != nil; x = x.earlier {
+		if ok(x) {
+			return x
+		}
+	}
+	return conn
 }
 
 // fakeTarget answers openers, runs requests and resets packets without a connection.
@@ -49,20 +60,24 @@
 	if m.body > 0 {
 		m.packet.PayloadBytes = 500
 	}
+	if conn := t.conns[key]; conn != nil && !t.quic && m.packet.SourceTag == 0 && m.packet.Kind != protocol.KindReset {
+		m.packet.SourceTag = conn.answerTag // the sequence number
+	}
 	t.f.send(t.place, m)
 }
 
-// reset answers a packet with a reset, which QUIC targets do not send.
-func (t *fakeTarget) reset(key protocol.FlowKey, tag uint32) {
+// reset answers a packet with a reset, which QUIC targets do not send. Its
+// sequence number is the acknowledgement number of the packet, if there is one.
+func (t *fakeTarget) reset(key protocol.FlowKey, tag, sequence uint32) {
 	if !t.quic {
-		t.sendMessage(key, message{packet: protocol.Packet{Kind: protocol.KindReset, HasTag: true}, echo: tag})
+		t.sendMessage(key, message{packet: protocol.Packet{Kind: protocol.KindReset, HasTag: true, SourceTag: sequence}, echo: tag})
 	}
 }
 
 func (t *fakeTarget) receive(m message) {
 	p := m.packet
 	key := protocol.FlowKey{Caller: p.Source, Service: t.service, Transport: p.Transport}
-	conn := t.conns[key]
+	conn := t.conns[key].find(func(x *fakeConn) bool { return x.answerTag == p.Tag })
 	switch {
 	case t.dead:
 	case p.Kind == protocol.KindReset:
@@ -70,9 +85,9 @@
 			delete(t.conns, key)
 		}
 	case p.Kind == protocol.KindOpener:
-		t.open(key, conn, m)
+		t.open(key, t.conns[key].find(func(x *fakeConn) bool { return x.openerTag == p.Tag }), m)
 	case conn == nil || !conn.established && p.Tag != conn.answerTag:
-		t.reset(key, p.Tag)
+		t.reset(key, p.Tag, p.Tag)
 	case p.Tag != conn.answerTag: // a late packet of an earlier connection
 	case p.Kind == protocol.KindFin:
 		delete(t.conns, key)
@@ -102,16 +117,19 @@
 	t.f.noteWork(t.self)
 	switch {
 	case t.resetting:
-		t.reset(key, tag)
+		t.reset(key, tag, 0)
 		return
 	case t.mute > 0 && t.f.rng.Float64() < t.mute:
 		return
-	case !t.quic && conn != nil && conn.established && conn.openerTag != tag:
+	case !t.quic && conn != nil && conn.openerTag != tag:
 		t.send(key, protocol.KindData, conn.openerTag+1, 0, 0)
 		return
 	}
 	if conn == nil || conn.openerTag != tag {
 		conn = &fakeConn{openerTag: tag, answerTag: t.f.rng.Uint32() | 1, ran: make(map[int]bool)}
+		if t.quic {
+			conn.earlier = t.conns[key]
+		}
 		t.conns[key] = conn
 	}
 	if t.quic {
@@ -177,10 +195,6 @@
 	}
 }
 
-func endpointOf(t objects.Target) protocol.Endpoint {
-	return protocol.NewEndpoint(netip.AddrPortFrom(t.Address, t.Port))
-}
-
 func (c *fakeCaller) packet(kind protocol.Kind, tag uint32, body int) message {
 	p := protocol.Packet{
 		Source: c.key.Caller, Destination: c.key.Service, Transport: c.key.Transport,
@@ -279,7 +293,7 @@
 		return
 	}
 	m := c.packet(protocol.KindReset, 0, 0)
-	m.packet.HasTag, m.echo = false, p.Tag-1
+	m.packet.HasTag, m.packet.SourceTag, m.echo = false, p.Tag, p.Tag-1
 	c.f.send(c.place, m)
 }
 
@@ -308,57 +322,6 @@
 	c.f.send(c.place, c.packet(kind, c.answerTag, 0))
 }
 
-// testService describes one service of a test configuration.
-type testService struct {
-	protocol   objects.Protocol
-	preference objects.Preference
-	targets    int
-	slots      uint32
-	limit      uint32
-}
-
-func testSet(services ...testService) objects.Set {
-	set := objects.Set{}
-	for i := range 3 {
-		set.Places = append(set.Places, objects.Place{Name: placeName(i)})
-	}
-	for i, s := range services {
-		pool := fmt.Sprintf("pool-%d", i)
-		set.Pools = append(set.Pools, objects.Pool{Name: pool, Slots: s.slots, Connections: s.limit})
-		set.Services = append(set.Services, objects.Service{
-			Name: fmt.Sprintf("service-%d", i), Address: netip.AddrFrom4([4]byte{192, 0, 2, byte(i + 1)}), Port: 443,
-			Protocol: s.protocol, Pool: pool, Preference: s.preference,
-		})
-		for range s.targets {
-			set.Targets = append(set.Targets, newTarget(set, pool, i))
-		}
-	}
-	return set
-}
-
-// newTarget makes one more target of a pool with an address of its own.
-func newTarget(set objects.Set, pool string, service int) objects.Target {
-	n := len(set.Targets)
-	return objects.Target{
-		Name: fmt.Sprintf("target-%02d", n), Pool: pool, Place: placeName(n), Weight: 100,
-		Address: netip.AddrFrom4([4]byte{10, 1, byte(service), byte(n + 1)}), Port: 8443,
-	}
-}
-
-func clone(set objects.Set) objects.Set {
-	set.Targets = append([]objects.Target(nil), set.Targets...)
-	set.Services = append([]objects.Service(nil), set.Services...)
-	return set
-}
-
-// twoServices is a mix like that of the users: affinity over TCP and evenness over QUIC.
-func twoServices() objects.Set {
-	return testSet(
-		testService{objects.ProtocolTCP, objects.PreferenceAffinity, 14, 2, 2000},
-		testService{objects.ProtocolQUIC, objects.PreferenceEvenness, 14, 3, 2000},
-	)
-}
-
 // establish opens n flows spread over the services, with one request on each.
 func (f *fleet) establish(n int) []*fakeCaller {
 	var all []*fakeCaller
--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -30,10 +30,18 @@
 		return relay(owner, ReasonToOwner)
 	}
 	stale := c.shard.role != roleNone && (!c.strong() || c.entry.Epoch != c.shard.epoch)
+	if c.isOwner() && c.strong() && !c.entry.Has(state.FlagClosed) && c.maybeOther() {
+		if c.service.Protocol == objects.ProtocolTCP {
+			d.noteRival(c)
+		}
+		return d.giveBack(c)
+	}
 	before := c.entry
 	r := d.judge(c)
 	decision := d.passBack(c, r, stale)
-	decision.Cancel = c.loser(&before, r)
+	if c.isOwner() {
+		decision.Cancel = c.loser(&before, r)
+	}
 	return decision
 }
 
@@ -54,26 +62,6 @@
 	return Decision{Action: ActionReturn, Endpoint: c.service.Address.Endpoint, Reason: ReasonReturn}
 }
 
-// isAnswer reports whether a packet of a target answers an opener.
-func (c *packetContext) isAnswer() bool {
-	switch c.in.Packet.Kind {
-	case protocol.KindOpenerAnswer:
-		return true
-	case protocol.KindOpener, protocol.KindHandshake:
-		return c.service.Protocol == objects.ProtocolQUIC
-	}
-	return false
-}
-
-// answerTag returns the tag that caller packets will echo.
-func (c *packetContext) answerTag() (uint32, bool) {
-	p := &c.in.Packet
-	if c.service.Protocol == objects.ProtocolQUIC {
-		return p.SourceTag, p.SourceTag != 0
-	}
-	return p.Tag, p.HasTag
-}
-
 // needsOwner reports whether a return packet passes through the owner: opener
 // answers, ends, bursts of young flows, and the next packet of a flow after a
 // change of owner or backup.
@@ -122,12 +110,13 @@
 
 func (d *Dispatcher) bindWeak(c *packetContext) {
 	e := &c.entry
-	if !c.known || e.Target != c.in.Packet.Source {
+	resumed := e.Has(state.FlagClosed) && c.in.Packet.PayloadBytes > 0
+	if !c.known || e.Target != c.in.Packet.Source || resumed {
 		d.uncount(c.service, c.flow, e)
 		c.entry = state.Entry{Target: c.in.Packet.Source, Created: c.stamp}
 	}
-	if e.Has(state.FlagDoubt) {
-		e.Clear(state.FlagDoubt | state.FlagAnswerTag)
+	if e.Has(state.FlagDoubt) || !e.Has(state.FlagAnswerTag) {
+		d.noteSequence(c)
 	}
 	if c.in.Packet.PayloadBytes > 0 {
 		e.Set(state.FlagReturned | state.FlagAnswered)
@@ -144,9 +133,12 @@
 		return d.judgeWeak(c)
 	case !c.known || !e.Bound():
 		return d.judgeUnbound(c)
+	case e.Target == c.in.Packet.Source && c.answersNext():
+		d.adopt(c)
+		return ""
 	case e.Target == c.in.Packet.Source:
 		return d.judgeBound(c)
-	case !c.strong():
+	case !c.strong() || c.passedOwner():
 		return d.judgeWeak(c)
 	}
 	return d.judgeConflict(c)
@@ -215,6 +207,7 @@
 	} else {
 		e.Strength = state.StrengthConfirmed
 		e.Set(state.FlagReturned)
+		d.noteSequence(c)
 	}
 	d.save(c)
 }
@@ -231,6 +224,9 @@
 		e.Set(state.FlagOpenerTag)
 	}
 	e.Set(state.FlagAnswered)
+	if e.Has(state.FlagReopened) {
+		e.Clear(state.FlagCallerFin | state.FlagTargetFin | state.FlagReturned)
+	}
 	e.Clear(state.FlagFailed | state.FlagReopened | state.FlagDoubt)
 }
 
@@ -245,7 +241,9 @@
 			return r
 		}
 	case p.Kind == protocol.KindFin:
-		d.markEnd(c, state.FlagTargetFin)
+		if !c.endsOther() {
+			d.markEnd(c, state.FlagTargetFin)
+		}
 	default:
 		d.returned(c)
 	}
@@ -286,7 +284,9 @@
 		return
 	}
 	e.Set(state.FlagReturned | state.FlagAnswered)
-	e.Clear(state.FlagDoubt)
+	if e.Has(state.FlagDoubt) || !e.Has(state.FlagAnswerTag) {
+		d.noteSequence(c)
+	}
 	if c.service.Protocol != objects.ProtocolQUIC {
 		e.Strength = state.StrengthConfirmed
 	}
@@ -297,7 +297,7 @@
 // opener is held back while another target may take the caller's next copy.
 func (d *Dispatcher) resetByTarget(c *packetContext) Reason {
 	e := &c.entry
-	if e.Has(state.FlagDoubt) {
+	if e.Has(state.FlagDoubt) || c.endsOther() {
 		return ReasonWrongGuess
 	}
 	if c.strong() && halfOpen(e) && c.shard.role == roleOwner {
--- a/internal/coordination/rival.go
+++ b/internal/coordination/rival.go
@@ -6,34 +6,39 @@
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
-// rival is a target other than the bound one that answered an opener, because
-// an owner with another view sent it a copy. The caller may have taken either answer.
+// rival is a target other than the bound one that answered an opener: an owner
+// with another view sent it a copy, or admitted another connection on the flow.
+// The caller may have taken either answer.
 type rival struct {
 	target protocol.Endpoint
 	tag    uint32
 }
 
-// noteRival remembers a QUIC target whose answer is dropped while the binding is tentative.
+// noteRival remembers a target whose answer does not change the binding.
 func (d *Dispatcher) noteRival(c *packetContext) {
-	tag, ok := c.answerTag()
-	if c.service.Protocol != objects.ProtocolQUIC || !ok {
-		return
+	if tag, ok := c.answerTag(); ok {
+		d.attempt(c).rival = rival{target: c.in.Packet.Source, tag: tag}
 	}
-	d.attempt(c).rival = rival{target: c.in.Packet.Source, tag: tag}
 }
 
-// towardsRival returns the rival when a caller packet goes to it. A packet with
-// its connection id rebinds the flow. One with an id of neither target goes to
-// both in turn, until one of them has established the connection.
+// towardsRival returns the rival when a caller packet goes to it. A packet that
+// echoes its answer rebinds the flow. A QUIC packet with an id of neither target
+// goes to both in turn, until one of them has established the connection.
 func (d *Dispatcher) towardsRival(c *packetContext) (protocol.Endpoint, bool) {
 	e, p := &c.entry, &c.in.Packet
-	if !c.strong() || e.Strength != state.StrengthTentative || !p.HasTag || c.service.Protocol != objects.ProtocolQUIC {
+	if !c.strong() || !e.Bound() || !p.HasTag || c.service.Protocol == objects.ProtocolUDP {
 		return protocol.Endpoint{}, false
 	}
 	a, ok := d.serviceState(c.service.Address).attempts[c.flow]
 	if !ok || a.rival.target.IsZero() || !d.mayForward(c.service, a.rival.target) {
 		return protocol.Endpoint{}, false
 	}
+	if c.service.Protocol == objects.ProtocolTCP {
+		return e.Target, d.towardsRivalTCP(c, a)
+	}
+	if e.Strength != state.StrengthTentative {
+		return protocol.Endpoint{}, false
+	}
 	if p.Tag == a.rival.tag {
 		d.rebind(c, a.rival)
 		return e.Target, true
@@ -41,8 +46,24 @@
 	if p.Kind == protocol.KindOpener || e.AnswerTag == p.Tag {
 		return protocol.Endpoint{}, false
 	}
-	odd := int64(c.stamp)/askInterval.Milliseconds()%2 == 1
-	return a.rival.target, odd
+	return a.rival.target, c.randomTurn()%2 == 1
+}
+
+// towardsRivalTCP rebinds the flow when the acknowledgement number of a packet is
+// closer to the answer of the rival than to that of the bound target. That one becomes the rival, since the packet may be late.
+func (d *Dispatcher) towardsRivalTCP(c *packetContext, a *attempt) bool {
+	e, p := &c.entry, &c.in.Packet
+	ahead := p.Tag - a.rival.tag
+	if p.Kind != protocol.KindData || ahead >= tagWindow || e.Has(state.FlagAnswerTag) && p.Tag-e.AnswerTag <= ahead {
+		return false
+	}
+	to := a.rival
+	a.rival = rival{}
+	if e.Has(state.FlagAnswerTag) {
+		a.rival = rival{target: e.Target, tag: e.AnswerTag}
+	}
+	d.rebind(c, to)
+	return true
 }
 
 // rebind moves a flow to the target whose answer the caller took.
--- a/internal/coordination/unknown.go
+++ b/internal/coordination/unknown.go
@@ -15,6 +15,9 @@
 	askInterval = 200 * time.Millisecond
 	// askTime is how long resets of targets are held back for an unknown flow.
 	askTime = 3 * time.Second
+	// likelyMembers is how many members are asked in turn about a flow whose
+	// binding is doubtful: its former owners and backups come first.
+	likelyMembers = 3
 	// guesses is how many intervals the table's choices are tried after all members were asked.
 	guesses = 2
 )
@@ -52,22 +55,48 @@
 		return others[0]
 	}
 	if !c.known {
-		c.entry = state.Entry{Flags: state.FlagAsking, Created: c.stamp}
-		d.save(c)
+		c.entry = state.Entry{Flags: state.FlagAsking, Created: c.stamp, AnswerTag: uint32(c.stamp)}
 	}
 	if !c.entry.Has(state.FlagAsking) {
-		return others[0]
+		return c.askDoubtful(others)
 	}
-	turn := c.asked() % (len(others) + guesses)
+	turn := d.asked(c) % (len(others) + guesses)
 	if turn >= len(others) {
 		return nil
 	}
 	return others[turn]
 }
 
-// asked returns how many intervals ago the search for the holder of the flow began.
-func (c *packetContext) asked() int {
-	return int(c.stamp.Since(c.entry.Created) / askInterval)
+// askDoubtful returns the member to ask about a flow whose binding at the owner
+// is not trusted, or nil when it is the turn of the bound target. A target that
+// answered is contradicted by the caller, so only others have a turn then.
+func (c *packetContext) askDoubtful(others []*Member) *Member {
+	turn := c.randomTurn()
+	contradicted := c.strong() && c.entry.Strength == state.StrengthTentative && !halfOpen(&c.entry)
+	if !contradicted && turn%2 == 0 {
+		return nil
+	}
+	return others[turn/2%min(len(others), likelyMembers)]
+}
+
+// randomTurn returns a number that changes with each interval. Numbers in
+// sequence would repeat in step with retransmissions, whose intervals double.
+func (c *packetContext) randomTurn() int {
+	interval := uint64(c.stamp) / uint64(askInterval.Milliseconds())
+	return int(state.Mix(state.FlowHash(c.flow), interval) >> 1)
+}
+
+// asked returns how many intervals with packets there were since the search for
+// the holder of the flow began. An entry without binding keeps the number and
+// the start of the present interval in its tags.
+func (d *Dispatcher) asked(c *packetContext) int {
+	e := &c.entry
+	if c.stamp.Since(state.Stamp(e.AnswerTag)) >= askInterval {
+		e.AnswerTag = uint32(c.stamp)
+		e.OpenerTag++
+	}
+	d.save(c)
+	return int(e.OpenerTag)
 }
 
 // lastResort uses a doubtful binding, or else the choices of the present table
@@ -75,7 +104,7 @@
 // connection; its reset is held back.
 func (d *Dispatcher) lastResort(c *packetContext) Decision {
 	if c.known && c.entry.Bound() {
-		if c.strong() && c.entry.Strength == state.StrengthTentative {
+		if c.strong() && c.entry.Strength == state.StrengthTentative && !halfOpen(&c.entry) {
 			return drop(ReasonContradicted)
 		}
 		return d.forward(c, c.entry.Target, ReasonUncertain)
@@ -84,9 +113,9 @@
 	if c.service.Protocol == objects.ProtocolUDP || len(choices) == 0 {
 		return drop(ReasonUnknownFlow)
 	}
-	turn := int(c.stamp) / int(askInterval.Milliseconds())
-	if c.known {
-		turn = c.asked()
+	turn := c.randomTurn()
+	if c.known && c.entry.Has(state.FlagAsking) {
+		turn = int(c.entry.OpenerTag)
 	}
 	turn %= len(choices)
 	if turn == 0 {
--- a/internal/experiment/host.go
+++ b/internal/experiment/host.go
@@ -209,14 +209,10 @@
 	}
 	p := protocol.Packet{
 		Source: h.endpoint, Destination: c.endpoint, Transport: c.transport, Kind: kind,
-		Tag: c.tag, HasTag: true, SourceTag: se.tag, PayloadBytes: bytes,
+		Tag: c.tag + 1, HasTag: true, SourceTag: se.tag, PayloadBytes: bytes,
 	}
-	if c.transport == protocol.TransportTCP {
-		p.SourceTag = 0
-		p.Tag = se.tag
-		if kind != protocol.KindOpenerAnswer {
-			p.Tag = c.tag + 1 // acknowledgement of the caller's sequence number
-		}
+	if c.transport == protocol.TransportTCP && kind == protocol.KindOpenerAnswer {
+		p.Tag, p.SourceTag = se.tag, c.tag
 	}
 	h.net.send(segment{packet: p, connection: c, content: what, sequence: sequence})
 }
--- a/internal/protocol/decode.go
+++ b/internal/protocol/decode.go
@@ -99,6 +99,9 @@
 	p.Destination.Port = uint16(t.DstPort)
 	p.PayloadBytes = len(t.Payload)
 	p.Tag, p.HasTag = t.Ack, t.ACK
+	if !t.SYN {
+		p.SourceTag = t.Seq
+	}
 	switch {
 	case t.RST:
 		p.Kind = KindReset
--- a/internal/protocol/packet.go
+++ b/internal/protocol/packet.go
@@ -102,7 +102,8 @@
 	HasTag bool
 	// SourceTag is the first four bytes of the source connection id of a QUIC
 	// long-header packet, the acknowledged initial sequence number of a TCP
-	// SYN-ACK (acknowledgement number minus one), or 0.
+	// SYN-ACK (acknowledgement number minus one), the sequence number of a TCP
+	// segment without SYN, or 0.
 	SourceTag uint32
 
 	// SynData reports payload on a TCP SYN.
--- a/internal/protocol/rewrite_test.go
+++ b/internal/protocol/rewrite_test.go
@@ -159,7 +159,7 @@
 			checksumsValid(t, reset)
 			got, err := d.Decode(reset)
 			assert.NilError(t, err)
-			assert.DeepEqual(t, got, Packet{Source: caller, Destination: target, Transport: TransportTCP, Kind: KindReset})
+			assert.DeepEqual(t, got, Packet{Source: caller, Destination: target, Transport: TransportTCP, Kind: KindReset, SourceTag: 78})
 			assert.Equal(t, binary.BigEndian.Uint32(reset[20+tcpSeqOffset:]), uint32(78))
 		})
 	}
