--- a/internal/coordination/faults_test.go
+++ b/internal/coordination/faults_test.go
@@ -87,6 +87,13 @@
 	return doubles
 }
 
+// ownerOf returns the owner of a service with one shard.
+func (f *fleet) ownerOf(service int) string {
+	flow := f.newFlow(service, 0)
+	s := f.table.Service(state.Address{Endpoint: flow.Service, Transport: flow.Transport})
+	return newRing(View{Members: f.members}).top(shardKey{service: s.Hash})[0].VM
+}
+
 // setViewOf gives one balancer a view of its own.
 func (f *fleet) setViewOf(vm string, members []Member) {
 	f.nodes[vm].SetView(f.now, View{Members: members})
--- a/internal/coordination/sets_test.go
+++ b/internal/coordination/sets_test.go
@@ -62,4 +62,3 @@
 func endpointOf(t objects.Target) protocol.Endpoint {
 	return protocol.NewEndpoint(netip.AddrPortFrom(t.Address, t.Port))
 }
-
--- a/internal/coordination/tags.go
+++ b/internal/coordination/tags.go
@@ -83,4 +83,3 @@
 	moved := int32(p.SourceTag - e.AnswerTag)
 	return moved >= tagWindow || moved <= -tagWindow
 }
-
