--- a/internal/coordination/endpoints_test.go
+++ b/internal/coordination/endpoints_test.go
@@ -328,6 +328,14 @@
 	for i := range n {
 		c := f.newCaller(i%len(f.set.Services), i)
 		all = append(all, c)
+	}
+	f.openAll(all)
+	return all
+}
+
+// openAll opens the flows of callers and sends one request on each.
+func (f *fleet) openAll(all []*fakeCaller) {
+	for _, c := range all {
 		f.after(time.Duration(f.rng.IntN(2000))*time.Millisecond, c.open)
 	}
 	f.advance(8 * time.Second)
@@ -335,7 +343,6 @@
 		f.after(time.Duration(f.rng.IntN(1000))*time.Millisecond, func() { c.ask(1) })
 	}
 	f.advance(15 * time.Second)
-	return all
 }
 
 // broken asks once more on each flow and counts those that get no answer.
