--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -63,7 +63,7 @@
 			return d.repeatOpener(c)
 		}
 		return d.admit(c)
-	case same:
+	case same && !e.Has(state.FlagReopened):
 		d.noteOpener(c)
 		d.save(c)
 		return d.forward(c, e.Target, ReasonRepeated)
@@ -123,6 +123,11 @@
 		d.note(c, ActionDrop, e.Target, ReasonSecondConnection)
 		return drop(ReasonSecondConnection)
 	}
+	if e.Has(state.FlagReopened) && c.sameConnection() {
+		d.noteOpener(c)
+		d.save(c)
+		return d.forward(c, e.Target, ReasonRepeated)
+	}
 	e.OpenerTag = c.openerTag()
 	e.Set(state.FlagOpenerTag | state.FlagReopened)
 	e.Epoch = c.shard.epoch
--- a/internal/coordination/reason.go
+++ b/internal/coordination/reason.go
@@ -32,6 +32,7 @@
 	ReasonViewsDiffer      Reason = "views-differ"
 	ReasonFrozen           Reason = "frozen"
 	ReasonHoldOff          Reason = "hold-off"
+	ReasonLeavingTarget    Reason = "opener-of-leaving-target"
 	ReasonLateOpener       Reason = "late-opener"
 	ReasonSecondConnection Reason = "second-connection-on-leaving-target"
 	ReasonContradicted     Reason = "contradicted-binding"
--- a/internal/coordination/refusal.go
+++ b/internal/coordination/refusal.go
@@ -55,7 +55,9 @@
 func (d *Dispatcher) repeatOpener(c *packetContext) Decision {
 	e := &c.entry
 	a := d.attempt(c)
-	failed := e.Has(state.FlagFailed)
+	// The earlier copy may be lost, so this one may be new work for a leaving target.
+	leaving := d.leaving(c.service, e.Target)
+	failed := leaving || e.Has(state.FlagFailed)
 	if !failed && c.now.Before(a.deadline) {
 		d.save(c)
 		return d.forward(c, e.Target, ReasonRepeated)
@@ -73,6 +75,9 @@
 	given := e.Target
 	next := d.choose(c, append(a.tried, given))
 	if next == nil || !d.serviceState(c.service.Address).retries.AllowN(c.now, 1) {
+		if d.leaving(c.service, given) {
+			return drop(ReasonLeavingTarget)
+		}
 		a.deadline = c.now.Add(c.service.OpenTimeout)
 		e.Clear(state.FlagFailed)
 		d.save(c)
