--- a/internal/coordination/reason.go
+++ b/internal/coordination/reason.go
@@ -32,6 +32,7 @@
 	ReasonViewsDiffer      Reason = "views-differ"
 	ReasonFrozen           Reason = "frozen"
 	ReasonHoldOff          Reason = "hold-off"
+	ReasonLeavingTarget    Reason = "opener-of-leaving-target"
 	ReasonLateOpener       Reason = "late-opener"
 	ReasonSecondConnection Reason = "second-connection-on-leaving-target"
 	ReasonContradicted     Reason = "contradicted-binding"
@@ -41,6 +42,7 @@
 	ReasonOpenerReset      Reason = "opener-reset"
 	ReasonTableFull        Reason = "flow-table-full"
 	ReasonUnknownFlow      Reason = "unknown-flow"
+	ReasonNoTargetUDP      Reason = "no-target-udp"
 
 	// Refused.
 	ReasonNoTarget Reason = "no-target"
--- a/internal/protocol/packet.go
+++ b/internal/protocol/packet.go
@@ -102,13 +102,16 @@
 	HasTag bool
 	// SourceTag is the first four bytes of the source connection id of a QUIC
 	// long-header packet, the acknowledged initial sequence number of a TCP
-	// SYN-ACK (acknowledgement number minus one), or 0.
+	// SYN-ACK (acknowledgement number minus one), the sequence number of a TCP
+	// segment without SYN, or 0.
 	SourceTag uint32
 
 	// SynData reports payload on a TCP SYN.
 	SynData bool
 	// ZeroRTT reports a QUIC 0-RTT packet in the datagram, alone or coalesced.
 	ZeroRTT bool
+	// ZeroRTTOnly reports that the datagram holds nothing but QUIC 0-RTT packets.
+	ZeroRTTOnly bool
 	// PayloadBytes is the length of the transport payload in bytes.
 	PayloadBytes int
 }
