Give the streams of the imbalance test callers of their own

The streams took the caller numbers from 30,000 on and the requests those up to 32,000, so that in the last 15 s of the sampled time requests opened a second connection on the flow of a live stream. Such a flow stays with its target, and its response does not pass through the owner, so the owner counted it as a running request until the limit of 30 s.

Streams take the numbers from 40,000 on; no two callers share one. The bounds are the same.

--- a/internal/coordination/imbalance_test.go
+++ b/internal/coordination/imbalance_test.go
@@ -23,7 +23,7 @@
 	if l.f.now.After(end) {
 		return
 	}
-	c := l.f.newCaller(0, 30_000+i)
+	c := l.f.newCaller(0, 40_000+i)
 	c.open()
 	until := l.f.now.Add(time.Duration(l.f.rng.ExpFloat64() * float64(life)))
 	l.f.after(20*time.Millisecond, func() { l.tick(c, until) })
