Measure busy slots apart in the window after the feeds open

The imbalance measure averaged two windows of 100 mean service times, the first of which begins when the last of 2,000 feeds opens. At 200 openers per second the owner takes up to 400 young feeds for running requests, more than the pool has slots, so this window shows the response to a surge and not the steady state.

The table now shows the first window and the mean of the three later ones in columns of their own; no sample is left out. The first window keeps counting as a deficiency of the choice, and the goals are unchanged.

--- a/internal/experiment/imbalance.go
+++ b/internal/experiment/imbalance.go
@@ -26,15 +26,20 @@
 	// OpenFlows is highest over mean of open flows per target.
 	OpenFlows float64
 	// BusySlots is highest over mean of busy slots per target, from the running requests
-	// averaged over windows of 100 mean service times.
+	// averaged over windows of 100 mean service times, without the first window.
 	BusySlots float64
-	Broken    int
+	// BusyAfterOpening is the same for the first window, which begins when the last feed
+	// opens. The young feeds still look like running requests then.
+	BusyAfterOpening float64
+	Broken           int
 }
 
 const (
 	imbalanceWarmUp = 5 * time.Second
 	feedSpread      = 10 * time.Second
 	sampleInterval  = 10 * time.Millisecond
+	// windowServiceTimes is the length of a window in mean service times.
+	windowServiceTimes = 100
 )
 
 // Imbalance measures how evenly mixed long and short flows spread over the targets.
@@ -57,10 +62,10 @@
 	}
 	n.after(imbalanceWarmUp, next)
 	begin := imbalanceWarmUp + feedSpread
-	s := newSampler(n, 100*o.Work)
+	s := newSampler(n, windowServiceTimes*o.Work)
 	n.after(begin, func() { n.every(sampleInterval, s.sample) })
 	n.runUntil(begin + o.Length)
-	r := ImbalanceResult{Result: n.result, OpenFlows: s.open.mean(), BusySlots: s.busy.mean()}
+	r := ImbalanceResult{Result: n.result, OpenFlows: s.open.mean(), BusySlots: s.busy.mean(), BusyAfterOpening: s.afterOpening}
 	for _, c := range n.callers {
 		if c.broken {
 			r.Broken++
@@ -96,6 +101,8 @@
 	busySum []float64
 	open    average
 	busy    average
+	// afterOpening is the ratio of busy slots in the first window.
+	afterOpening float64
 }
 
 func newSampler(n *network, window time.Duration) *sampler {
@@ -113,10 +120,15 @@
 	if s.samples%int(time.Second/sampleInterval) == 0 {
 		s.open.add(highestOverMean(s.openFlows()))
 	}
-	if s.samples%s.window == 0 {
+	if s.samples%s.window != 0 {
+		return
+	}
+	if s.samples == s.window {
+		s.afterOpening = highestOverMean(s.busySum)
+	} else {
 		s.busy.add(highestOverMean(s.busySum))
-		clear(s.busySum)
 	}
+	clear(s.busySum)
 }
 
 func (s *sampler) openFlows() []float64 {
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -123,22 +123,25 @@
 	{"bookdesk", objects.PreferenceEvenness, 3, 1.10},
 }
 
+// imbalanceWindows is the number of windows in which busy slots are measured, with the first one.
+const imbalanceWindows = 4
+
 // PrintImbalance runs the imbalance measure and prints one table.
 func PrintImbalance(w io.Writer, seed uint64, feeds int, work time.Duration) error {
-	t := newTable(w, "variant\tservice\tclose\topen flows, highest over mean\tbusy slots, highest over mean\tgoal\tbroken")
+	t := newTable(w, "variant\tservice\tclose\topen flows, highest over mean\tbusy slots, highest over mean\tbusy slots, first window\tgoal\tbroken")
 	for _, protocol := range []objects.Protocol{objects.ProtocolTCP, objects.ProtocolQUIC} {
 		for _, v := range Variants {
 			for _, row := range imbalanceRows {
 				r, err := Imbalance(ImbalanceOptions{
 					Options:  Options{Variant: v, Balancers: defaultBalancers, Seed: seed},
 					Protocol: protocol, Preference: row.preference, Slots: row.slots, Busy: 0.4, Feeds: feeds,
-					Work: work, Length: 40 * time.Second,
+					Work: work, Length: imbalanceWindows * windowServiceTimes * work,
 				})
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(t, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%d\n", v, row.name, closeName(protocol),
-					r.OpenFlows, r.BusySlots, row.goal, r.Broken)
+				fmt.Fprintf(t, "%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%d\n", v, row.name, closeName(protocol),
+					r.OpenFlows, r.BusySlots, r.BusyAfterOpening, row.goal, r.Broken)
 			}
 		}
 	}
