Break ties among the least loaded targets by their recent work

Busy slots were uneven for two reasons. A target with more open flows than its bound received no short requests for as long as its long flows lived: with TCP and evenness two of 14 targets stayed at 9 and 0 busy samples in a window in which the others had 2,650. And among targets with equally many running requests rendezvous decided, which adds the noise of random counts to that of random lengths.

Each target now has a sum of the lengths of its ended requests, which decays over 5 s. Among the least loaded targets the one with the least recent work is taken, and a target with less than 0.85 of its share of recent work stays a candidate whatever its open flows. The bound of open flows for evenness is 1.04, and the second bound 1.06 for ties is gone. The variant bounded keeps its rule.

TestMixedFlowsAreSpread, evenness: busy slots 1.096, 1.074, 1.066 and 1.063 to 1.069, 1.055, 1.047 and 1.066; open flows at most 1.088. TestRequestsMeetFreeSlots: at most 2.4 % with a visible close and 3.1 % with a hidden one (goals 3 % and 12 %).

--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -14,11 +14,14 @@
 // over mean, because flows that close lower the mean after the choice.
 const (
 	affinityBound = 1.15
-	evennessBound = 1.09
-	// evennessTie is the share above which a target loses ties. A strict order by
-	// open flows keeps short requests away from the targets that have a few long
-	// flows more, and made busy slots uneven by 1.3.
-	evennessTie = 1.06
+	evennessBound = 1.04
+	// leastWork is the share of the mean recent work below which a target stays a
+	// candidate whatever its open flows. Without it, a target with a few more long
+	// flows than its bound received no short requests for as long as these flows lived.
+	leastWork = 0.85
+	// measuredRuns is how many requests per target the recent work must hold before
+	// it is compared. With fewer, the random lengths of the requests decide.
+	measuredRuns = 5
 )
 
 // Method is how a target is chosen.
@@ -37,6 +40,8 @@
 	target *Target
 	load   *Load
 	weight float64
+	// work is the recent work of the target.
+	work float64
 }
 
 // runLoad and openLoad are what a target has after one more flow, relative to its weight.
@@ -49,8 +54,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	fair := newShares(candidates)
+	fair := newShares(candidates, c.meanRun)
 	if method == MethodBounded {
+		fair.work = 0
 		return highest(fair.within(affinityBound, candidates), flow)
 	}
 	free := withFreeSlot(candidates, s.Pool.Slots)
@@ -62,7 +68,7 @@
 	}
 	if s.Preference == objects.PreferenceEvenness {
 		candidates = lowest(fair.within(evennessBound, candidates), (*candidate).runLoad)
-		return highest(fair.within(evennessTie, candidates), flow)
+		return highest(lowest(candidates, fair.workLoad), flow)
 	}
 	return highest(fair.within(affinityBound, candidates), flow)
 }
@@ -76,7 +82,7 @@
 		if c.Closed(s, t) != "" || slices.Contains(excluded, t.Endpoint) {
 			continue
 		}
-		one := candidate{target: t, load: l, weight: float64(t.Weight) * l.share(now)}
+		one := candidate{target: t, load: l, weight: float64(t.Weight) * l.share(now), work: l.recentWork(now)}
 		usable = append(usable, one)
 		if !l.bad(now) {
 			good = append(good, one)
@@ -120,28 +126,44 @@
 	return free
 }
 
-// shares tells how many of the open flows are the fair share of a target.
+// shares tells the fair share of a target in the open flows and the recent work.
 type shares struct {
 	open   float64
 	weight float64
+	// work is 0 until it is measured well enough to be compared.
+	work float64
 }
 
-func newShares(all []candidate) shares {
+func newShares(all []candidate, meanRun time.Duration) shares {
 	s := shares{open: 1}
 	for i := range all {
 		s.open += float64(all[i].load.Open)
 		s.weight += all[i].weight
+		s.work += all[i].work
+	}
+	if s.work < measuredRuns*float64(len(all))*meanRun.Seconds() {
+		s.work = 0
 	}
 	return s
 }
 
-// within keeps the targets that stay within bound times their share with one
-// more flow, or those with the fewest open flows when none does.
+// workLoad is the recent work of a target over its fair share, or 0 when the work is not measured.
+func (s shares) workLoad(one *candidate) float64 {
+	if s.work == 0 {
+		return 0
+	}
+	return one.work * s.weight / (s.work * one.weight)
+}
+
+// within keeps the targets that stay within bound times their share of the open
+// flows with one more, and those with little recent work; or those with the
+// fewest open flows when there are none.
 func (s shares) within(bound float64, all []candidate) []candidate {
 	kept := make([]candidate, 0, len(all))
 	for _, one := range all {
 		fair := s.open * one.weight / s.weight
-		if float64(one.load.Open+1) <= max(math.Ceil(fair), math.Floor(bound*fair)) {
+		fits := float64(one.load.Open+1) <= max(math.Ceil(fair), math.Floor(bound*fair))
+		if fits || s.work > 0 && s.workLoad(&one) < leastWork {
 			kept = append(kept, one)
 		}
 	}
--- a/internal/state/counts.go
+++ b/internal/state/counts.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"math"
 	"time"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
@@ -18,6 +19,9 @@
 	loadFloor = 0.5
 	// loadKnee is the reported load, in permille, above which a weight is lowered.
 	loadKnee = 700
+	// workMemory is the decay time of the recent work of a target. With 10 s, busy
+	// slots took longer to even out after a surge of streams that look like requests.
+	workMemory = 5 * time.Second
 )
 
 // Condition is what reports and the view say about a target.
@@ -37,6 +41,10 @@
 	Runs      int
 	Condition Condition
 
+	// work is the decayed sum of the lengths of ended requests, in seconds, at workAt.
+	work   float64
+	workAt time.Time
+
 	failures  int
 	failedAt  time.Time
 	rampFrom  time.Time
@@ -44,6 +52,20 @@
 	rampWhole time.Duration
 }
 
+// addWork counts a request that ended.
+func (l *Load) addWork(now time.Time, length time.Duration) {
+	l.work = l.recentWork(now) + length.Seconds()
+	l.workAt = now
+}
+
+// recentWork is the decayed sum of the lengths of ended requests, in seconds.
+func (l *Load) recentWork(now time.Time) float64 {
+	if l.work == 0 {
+		return 0
+	}
+	return l.work * math.Exp(-now.Sub(l.workAt).Seconds()/workMemory.Seconds())
+}
+
 // Failed notes an opener that the target left unanswered or reset.
 func (l *Load) Failed(now time.Time) {
 	l.failures++
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -103,6 +103,9 @@
 		return
 	}
 	c.learn(now.Sub(r.started))
+	if !r.done {
+		c.Load(r.target).addWork(now, now.Sub(r.started))
+	}
 	c.EndRun(flow)
 }
 
@@ -242,7 +245,9 @@
 		}
 		sum += end.Sub(r.started)
 		ended++
+		// A flow with a visible close that stays open is a stream or idle, not work.
 		if r.hidden {
+			c.Load(r.target).addWork(now, end.Sub(r.started))
 			c.release(r)
 			r.ended = due
 			c.schedule(c.due(r))
