Apply the bound of open flows before the wait for a slot

When no slot was free by the counts, only the targets with the fewest waiting requests remained, and the bound of open flows applied to those alone. In the surge of 2,000 feeds, which look like requests at first, the bound had no effect, and the feeds stayed uneven for as long as they lived.

--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -59,18 +59,29 @@
 		fair.work = 0
 		return highest(fair.within(affinityBound, candidates), flow)
 	}
-	free := withFreeSlot(candidates, s.Pool.Slots)
-	switch {
-	case len(free) > 0:
-		candidates = free
-	case s.Pool.Slots > 0:
-		candidates = c.soonestFree(candidates)
+	bound := affinityBound
+	if s.Preference == objects.PreferenceEvenness {
+		bound = evennessBound
 	}
+	candidates = c.available(fair, bound, s.Pool.Slots, candidates)
 	if s.Preference == objects.PreferenceEvenness {
-		candidates = lowest(fair.within(evennessBound, candidates), (*candidate).runLoad)
-		return highest(lowest(candidates, fair.workLoad), flow)
+		return highest(lowest(lowest(candidates, (*candidate).runLoad), fair.workLoad), flow)
+	}
+	return highest(candidates, flow)
+}
+
+// available keeps the targets with a free slot that stay within the bound. When
+// no slot is free, it keeps those within the bound that have one soonest: in a
+// surge of long flows, which look like requests at first, these must be spread too.
+func (c *Counts) available(fair shares, bound float64, slots uint32, all []candidate) []candidate {
+	if free := withFreeSlot(all, slots); len(free) > 0 {
+		return fair.within(bound, free)
+	}
+	all = fair.within(bound, all)
+	if slots == 0 {
+		return all
 	}
-	return highest(fair.within(affinityBound, candidates), flow)
+	return c.soonestFree(all)
 }
 
 // candidates returns the targets that may take a flow. Targets that look bad
