Run the cases of the imbalance test in parallel and settle for 40 s

The cases now run in parallel, and the load settles for 40 s instead of 100 s, so that sampling begins nearer to the uneven start. The sampled time, the flows, the request rate, the seeds and the bounds are the same.

--- a/internal/coordination/imbalance_test.go
+++ b/internal/coordination/imbalance_test.go
@@ -85,24 +85,40 @@
 	goals := map[objects.Preference]float64{objects.PreferenceAffinity: 1.25, objects.PreferenceEvenness: 1.10}
 	for _, protocol := range []objects.Protocol{objects.ProtocolTCP, objects.ProtocolQUIC} {
 		for preference, goal := range goals {
-			eachSeed(t, 2, func(t *testing.T, seed uint64) {
-				s := testService{protocol, preference, 14, 3, 2000}
-				l := newMixedLoad(t, seed, s)
-				const streams, life = 2000, 300 * time.Second
-				l.stream(0, 10*time.Millisecond, life, l.f.now.Add(streams*10*time.Millisecond))
-				l.f.advance(streams * 10 * time.Millisecond)
-				l.stream(2*streams, life/streams, life, l.f.now.Add(200*time.Second))
-				l.arrive(0, 6*time.Millisecond, 32_000)
-				l.f.advance(100 * time.Second)
-				for range 900 {
-					l.f.advance(100 * time.Millisecond)
-					l.sample()
-				}
-				open := l.ratios / float64(l.samples)
-				t.Logf("%s, %s: maximum over mean of open flows %.3f, of busy slots %.3f", protocol, preference, open, l.busyRatio())
-				assert.Assert(t, open <= goal)
-				assert.Assert(t, l.busyRatio() <= goal)
+			t.Run(string(protocol)+" "+string(preference), func(t *testing.T) {
+				t.Parallel()
+				eachSeed(t, 2, func(t *testing.T, seed uint64) {
+					t.Parallel()
+					open, busy := measureMixed(t, seed, testService{protocol, preference, 14, 3, 2000})
+					t.Logf("maximum over mean of open flows %.3f, of busy slots %.3f", open, busy)
+					assert.Assert(t, open <= goal)
+					assert.Assert(t, busy <= goal)
+				})
 			})
 		}
 	}
 }
+
+// measureMixed returns the maximum over the mean of open flows and of busy slots
+// over 90 s, from 40 s after the first 2,000 streams were opened.
+func measureMixed(t *testing.T, seed uint64, s testService) (open, busy float64) {
+	const (
+		streams = 2000
+		life    = 300 * time.Second
+		opening = streams * 10 * time.Millisecond
+		settle  = 40 * time.Second
+		sampled = 90 * time.Second
+		between = 6 * time.Millisecond
+	)
+	l := newMixedLoad(t, seed, s)
+	l.stream(0, 10*time.Millisecond, life, l.f.now.Add(opening))
+	l.f.advance(opening)
+	l.stream(2*streams, life/streams, life, l.f.now.Add(settle+sampled))
+	l.arrive(0, between, int((settle+sampled)/between))
+	l.f.advance(settle)
+	for range sampled / (100 * time.Millisecond) {
+		l.f.advance(100 * time.Millisecond)
+		l.sample()
+	}
+	return l.ratios / float64(l.samples), l.busyRatio()
+}
