Keep a later view in the experiments when an earlier one arrives after it

When two balancers die at once, each death spreads a view after a random delay of 1.5 to 3 s. The view of the first death, which still lists the second balancer, could arrive last and stay in force, so packets went to a dead owner for the rest of the run. Views are now numbered, and a balancer keeps the latest.

--- a/internal/experiment/network.go
+++ b/internal/experiment/network.go
@@ -57,6 +57,8 @@
 	up       bool
 	leaving  bool
 	admitted int
+	// view is the number of the latest view that it has.
+	view int
 }
 
 // network is the fabric with the balancers and hosts behind it.
@@ -74,6 +76,8 @@
 	service map[string]protocol.Endpoint
 	tcp     map[protocol.Endpoint]bool
 	result  Result
+	// views counts the views that were spread.
+	views int
 }
 
 // Options are the parameters that all experiments share.
@@ -146,8 +150,20 @@
 	return b
 }
 
+// setView takes a view unless the balancer has a later one; a member that died
+// does not come back with the delayed news of an earlier death.
+func (b *balancer) setView(now time.Time, number int, view coordination.View) {
+	if number < b.view {
+		return
+	}
+	b.view = number
+	b.core.SetView(now, view)
+}
+
 // spreadView gives each balancer the present view after a delay of its own.
 func (n *network) spreadView(low, high time.Duration) {
+	n.views++
+	number := n.views
 	view := coordination.View{}
 	for _, b := range n.balancers {
 		if b.up {
@@ -157,10 +173,10 @@
 	sort.Slice(view.Members, func(i, j int) bool { return view.Members[i].VM < view.Members[j].VM })
 	for _, b := range n.balancers {
 		if high == 0 {
-			b.core.SetView(n.now, view)
+			b.setView(n.now, number, view)
 			continue
 		}
-		n.after(n.within(low, high), func() { b.core.SetView(n.now, view) })
+		n.after(n.within(low, high), func() { b.setView(n.now, number, view) })
 	}
 }
 
