Answer wrong uses with exit code 2, and show ages and alarms once in status

Change: option values are checked before anything is bound or asked; errors of the HTTP library lose method and URL; status lists an alarm once with the balancers that raise it, gives ages in attention lines, and compares generations of asked balancers only. operator_check and operator_status expect the new texts, as strictly as before.

--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os/signal"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 
 	"github.com/kumquatworks/kumquatworks/internal/settings"
 	"github.com/kumquatworks/kumquatworks/internal/transport"
@@ -33,6 +35,9 @@
 // Execute runs the balancer, or checks its settings.
 func (c *balancerCommand) Execute([]string) error {
 	s, err := settings.Read(c.Config)
+	if unreadable := (*fs.PathError)(nil); errors.As(err, &unreadable) {
+		return usageError("--config: %v", unreadable)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -83,6 +84,24 @@
 	return &ExitError{Code: ExitUsage, Err: errors.Errorf(format+"; see kumquatworks --help", args...)}
 }
 
+// optionTypes says in words what an option of a Go type takes.
+var optionTypes = map[string]string{
+	"int": "a whole number", "uint": "a whole number from 0", "uint64": "a whole number from 0",
+	"float64": "a number", "time.Duration": "a duration such as 250ms",
+}
+
+// invalidOption matches the message of go-flags about a value that does not parse.
+var invalidOption = regexp.MustCompile("^invalid argument for flag `(.+)' \\(expected \\*?([a-zA-Z0-9.]+)\\)")
+
+// plainUsage replaces Go types in a message of go-flags by words.
+func plainUsage(message string) string {
+	match := invalidOption.FindStringSubmatch(message)
+	if match == nil || optionTypes[match[2]] == "" {
+		return message
+	}
+	return match[1] + ": takes " + optionTypes[match[2]]
+}
+
 func addCommands(parser *flags.Parser, streams Streams) error {
 	groups := map[string]*flags.Command{}
 	for _, c := range commands {
@@ -115,7 +134,7 @@
 			fmt.Fprintln(streams.Out, usage.Message)
 			return ExitDone
 		}
-		fmt.Fprintf(streams.Err, "kumquatworks: %s; see kumquatworks --help\n", usage.Message)
+		fmt.Fprintf(streams.Err, "kumquatworks: %s; see kumquatworks --help\n", plainUsage(usage.Message))
 		return ExitUsage
 	}
 	fmt.Fprintf(streams.Err, "kumquatworks: %s\n", err)
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/hex"
-	"net"
+	"net/netip"
 	"net/url"
 	"os"
 	"strings"
@@ -55,8 +55,8 @@
 // check verifies the addresses and reads the fleet key.
 func (o *balancerOptions) check() (operatorDial, error) {
 	for _, address := range o.Balancers {
-		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
-			return nil, usageError("--balancer: %q is not an address:port", address)
+		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+			return nil, usageError("--balancer: %q is not an address:port such as 10.0.0.1:7600", address)
 		}
 	}
 	key, err := readFleetKey(o.FleetKeyFile)
@@ -121,6 +121,10 @@
 		return errors.New("refused the fleet key")
 	}
 	text := strings.TrimPrefix(rpc.Msg(), "failed to do request: ")
+	var call *url.Error
+	if errors.As(err, &call) {
+		text = call.Err.Error() // without the URL of the request
+	}
 	if argument := rpc.Meta("argument"); argument != "" {
 		text = strings.TrimPrefix(text, argument+" ")
 	}
--- a/internal/cli/operator_explain.go
+++ b/internal/cli/operator_explain.go
@@ -71,13 +71,13 @@
 	names := c.Args.Names
 	switch c.Args.Kind {
 	case "flow":
-		if _, err := netip.ParseAddrPort(names[0]); err != nil {
-			return nil, usageError("CALLER: %q is not an address:port", names[0])
+		if a, err := netip.ParseAddrPort(names[0]); err != nil || !a.Addr().Is4() {
+			return nil, usageError("CALLER: %q is not an IPv4 address:port such as 10.9.0.7:40112", names[0])
 		}
 		return &wire.ExplainRequest{Caller: names[0], Service: names[1]}, nil
 	case "caller":
-		if _, err := netip.ParseAddr(names[0]); err != nil {
-			return nil, usageError("ADDRESS: %q is not an address", names[0])
+		if a, err := netip.ParseAddr(names[0]); err != nil || !a.Is4() {
+			return nil, usageError("ADDRESS: %q is not an IPv4 address such as 10.9.0.7", names[0])
 		}
 		return &wire.ExplainRequest{Caller: names[0]}, nil
 	case "target":
--- a/internal/cli/operator_print.go
+++ b/internal/cli/operator_print.go
@@ -19,7 +19,7 @@
 	if r.Generation > 0 {
 		inForce = fmt.Sprintf("generation %d (digest %.12s at %s)", r.Generation, r.Digest, r.Balancer)
 	}
-	fmt.Fprintf(&b, "%s; figures from %s; flow table entries: %d\n", inForce, count(r.Answers, "balancer"), r.Flows)
+	fmt.Fprintf(&b, "%s; figures from %s, asked now; flow table entries: %d\n", inForce, count(r.Answers, "balancer"), r.Flows)
 	r.printPlaces(&b)
 	r.printVMs(&b)
 	r.printPools(&b)
@@ -48,7 +48,9 @@
 	table := newTable(b, "\nPLACE\tLIVE\tLEAVING\tSUSPECTED\tDEAD\tGENERATION\tPLATFORM")
 	for _, p := range r.Places {
 		generation := fmt.Sprint(p.HighestGeneration)
-		if p.LowestGeneration != p.HighestGeneration {
+		if p.Live == 0 {
+			generation = "-"
+		} else if p.LowestGeneration != p.HighestGeneration {
 			generation = fmt.Sprintf("%d to %d", p.LowestGeneration, p.HighestGeneration)
 		}
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%s\t%s\n", p.Place, p.Live, p.Leaving, p.Suspected, p.Dead, generation, p.platform())
--- a/internal/cli/operator_report.go
+++ b/internal/cli/operator_report.go
@@ -52,7 +52,8 @@
 	State      string `json:"state"`
 	Generation uint64 `json:"generation"`
 	Control    string `json:"control"`
-	// Answered tells that the figures are from the balancer itself; otherwise others told them.
+	// Answered tells that the figures are from the balancer itself. Otherwise
+	// Balancer told them, and Generation lags by up to one exchange (10 s).
 	Answered bool    `json:"answered"`
 	Problem  string  `json:"problem,omitempty"`
 	HeardAge float64 `json:"heard_age_seconds"`
@@ -226,22 +227,20 @@
 
 // addAttention lists what an operator has to look at.
 func (r *fleetReport) addAttention() {
-	for _, a := range r.Alarms {
-		r.attend("%s: %s", a.VM, a.Text)
-	}
+	r.attendAlarms()
 	for _, vm := range r.VMs {
 		switch {
 		case vm.Problem != "":
 			r.attend("%s: %s", vm.VM, vm.Problem)
 		case vm.State == "suspect" || vm.State == "dead":
-			r.attend("%s: is %s", vm.VM, vm.State)
-		case vm.State != "left" && vm.Generation < r.Generation:
+			r.attend("%s: is %s, last heard %s", vm.VM, vm.State, ago(vm.HeardAge))
+		case vm.Answered && vm.Generation < r.Generation:
 			r.attend("%s: has generation %d, the fleet has %d", vm.VM, vm.Generation, r.Generation)
 		}
 	}
 	for _, p := range r.Places {
 		if p.Live > 0 && !p.PlatformReachable && p.PlatformAge >= 0 {
-			r.attend("place %s: does not reach the platform", cmp.Or(p.Place, "unknown"))
+			r.attend("place %s: does not reach the platform, last answer %s", cmp.Or(p.Place, "unknown"), ago(p.PlatformAge))
 		}
 	}
 	for _, p := range r.Pools {
@@ -251,6 +250,21 @@
 	}
 }
 
+// attendAlarms lists each alarm once, with the balancers that raise it.
+func (r *fleetReport) attendAlarms() {
+	var texts []string
+	raisedBy := map[string][]string{}
+	for _, a := range r.Alarms {
+		if raisedBy[a.Text] == nil {
+			texts = append(texts, a.Text)
+		}
+		raisedBy[a.Text] = append(raisedBy[a.Text], a.VM)
+	}
+	for _, text := range texts {
+		r.attend("%s: %s", named(raisedBy[text]), text)
+	}
+}
+
 func (r *fleetReport) attend(format string, args ...any) {
 	r.Attention = append(r.Attention, fmt.Sprintf(format, args...))
 }
--- a/internal/cli/operator_status.go
+++ b/internal/cli/operator_status.go
@@ -14,8 +14,8 @@
 	register(command{
 		name:  "status",
 		short: "show the state of the fleet",
-		long: "Asks one balancer, and through it every live balancer, for generations, VMs, targets and alarms. Works while the platform is down. " +
-			"Ages are in seconds. Exit codes: 0 nothing needs attention; 1 something does, listed under attention; 2 wrong use; 4 no balancer answers. " +
+		long: "Asks one balancer, and through it every live balancer, for generations, VMs, targets and alarms. Works while the platform is down, against any balancer. " +
+			"Figures without an age are from the balancers that were asked now; ages are in seconds. Exit codes: 0 nothing needs attention; 1 something does, listed under attention; 2 wrong use; 4 no balancer answers. " +
 			"Example: kumquatworks status --balancer 10.0.0.1:7600 --fleet-key-file fleet.key",
 		build: func(s Streams) flags.Commander { return &statusCommand{streams: s} },
 	})
@@ -24,7 +24,7 @@
 type statusCommand struct {
 	balancerOptions
 	JSON     bool `long:"json" description:"print JSON"`
-	Local    bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns"`
+	Local    bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns, and generations of others may be 10 s old"`
 	Targets  bool `long:"targets" description:"list every target, also those that serve normally"`
 	Counters bool `long:"counters" description:"list the counters, summed over the balancers since their start"`
 	streams  Streams
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -69,6 +69,9 @@
 		Setup: func(env *testscript.Env) error {
 			fleet := &operatorFleet{stop: map[string]func(){}}
 			env.Values["fleet"] = fleet
+			if err := writeConfiguration(env.WorkDir + "/conf"); err != nil {
+				return err
+			}
 			return fleet.start(env)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -85,6 +88,8 @@
 			"stop":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).stop[args[0]]() },
 			"removevm": func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).server.RemoveVM(args[0]) },
 			"waithead": waitHead,
+			"until":    untilOutput,
+			"json":     jsonFields,
 		},
 	})
 }
@@ -203,7 +208,7 @@
 		{Pool: "p", Service: "s", Targets: 3, OpenFlows: 17, Imbalance: 1.5, States: map[string]int{"cold": 1, "draining": 1, "serving": 1}},
 	})
 	assert.DeepEqual(t, r.Targets[0], targetReport{Target: "t1", Pool: "p", Service: "s", OpenFlows: 6, State: "cold", Reporters: 1, Reason: "cold", Age: 1})
-	assert.DeepEqual(t, r.Attention, []string{"m2: odd", "m3: does not answer: timeout", "m4: is dead"})
+	assert.DeepEqual(t, r.Attention, []string{"m2: odd", "m3: does not answer: timeout", "m4: is dead, last heard 0.0 s ago"})
 }
 
 // Guards against a table of objects in docs/configuration.md that differs from the checks in the code.
--- /dev/null
+++ b/internal/cli/script_test.go
@@ -0,0 +1,55 @@
+package cli
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"regexp"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// configuration is published by scripts that bring no folder conf.
+const configuration = `{"places": [{"name": "pl-a"}, {"name": "pl-b"}, {"name": "pl-c"}],
+ "services": [{"name": "quote-desk", "address": "10.1.0.1", "port": 443, "protocol": "quic", "pool": "quotes"}],
+ "pools": [{"name": "quotes", "slots": 2, "connections": 2000}],
+ "targets": [
+  {"name": "q-01", "pool": "quotes", "place": "pl-a", "address": "10.2.0.1", "port": 8443},
+  {"name": "q-02", "pool": "quotes", "place": "pl-b", "address": "10.2.0.2", "port": 8443},
+  {"name": "q-03", "pool": "quotes", "place": "pl-c", "address": "10.2.0.3", "port": 8443}]}
+`
+
+func writeConfiguration(folder string) error {
+	if _, err := os.Stat(folder); err == nil {
+		return nil
+	}
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(folder, "all.json"), []byte(configuration), 0o600)
+}
+
+// untilOutput repeats a command until its output matches a pattern, whatever its exit code.
+func untilOutput(ts *testscript.TestScript, neg bool, args []string) {
+	pattern := regexp.MustCompile("(?m)" + args[0])
+	for range 600 {
+		_ = ts.Exec(args[1], args[2:]...) // the pattern decides
+		if pattern.MatchString(ts.ReadFile("stdout")+ts.ReadFile("stderr")) != neg {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%v: %s in %s%s", args[1:], args[0], ts.ReadFile("stdout"), ts.ReadFile("stderr"))
+}
+
+// jsonFields fails unless the output is one JSON value that has the named fields.
+func jsonFields(ts *testscript.TestScript, _ bool, args []string) {
+	fields := map[string]any{}
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &fields))
+	for _, name := range args {
+		if _, has := fields[name]; !has {
+			ts.Fatalf("no field %s", name)
+		}
+	}
+}
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -59,11 +60,24 @@
 	return errors.Wrap(<-stopped, "stop HTTP server")
 }
 
+// namedAddress is the value of an option that takes an address:port; empty is no address.
+type namedAddress struct{ option, value string }
+
+// checkAddresses refuses options without an address:port before a stand-in binds or dials.
+func checkAddresses(list []namedAddress) error {
+	for _, a := range list {
+		if _, err := netip.ParseAddrPort(a.value); err != nil && a.value != "" {
+			return usageError("%s: %q is not an address:port", a.option, a.value)
+		}
+	}
+	return nil
+}
+
 // readJSON reads one JSON file and refuses unknown fields.
 func readJSON(path string, out any) error {
 	file, err := os.Open(path)
 	if err != nil {
-		return errors.WithStack(err)
+		return usageError("%v", err)
 	}
 	defer file.Close()
 	decoder := json.NewDecoder(file)
--- a/internal/cli/standin_caller.go
+++ b/internal/cli/standin_caller.go
@@ -50,11 +50,14 @@
 func (c *standinCallerCommand) Execute([]string) error {
 	name, endpoint, err := exchange.ParseNamed(c.Service)
 	if err != nil {
-		return errors.Wrap(err, "--service")
+		return usageError("--service: %v", err)
 	}
 	address, err := netip.ParseAddr(c.Address)
-	if err != nil {
-		return errors.Wrap(err, "--address")
+	if err != nil || !address.Is4() {
+		return usageError("--address: %q is not an IPv4 address", c.Address)
+	}
+	if err := checkAddresses([]namedAddress{{"--fabric", c.Fabric}, {"--http", c.HTTP}}); err != nil {
+		return err
 	}
 	ctx, stop := untilSignal()
 	defer stop()
--- a/internal/cli/standin_fabric.go
+++ b/internal/cli/standin_fabric.go
@@ -5,7 +5,6 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/standin/fabric"
 )
 
@@ -33,12 +32,19 @@
 
 // Execute carries packets until SIGTERM.
 func (c *standinFabricCommand) Execute([]string) error {
+	if err := checkAddresses([]namedAddress{{"--listen", c.Listen}, {"--http", c.HTTP}}); err != nil {
+		return err
+	}
+	store, err := (&platformOption{Platform: c.Platform}).store()
+	if err != nil {
+		return err
+	}
 	ctx, stop := untilSignal()
 	defer stop()
 	logger := newLogger(c.streams, "fabric")
 	carrier, err := fabric.New(fabric.Options{
 		Listen:    c.Listen,
-		Store:     platform.NewClient(c.Platform),
+		Store:     store,
 		Keepalive: c.Keepalive,
 		Misses:    c.Misses,
 		Seed:      c.Seed,
--- a/internal/cli/standin_platform.go
+++ b/internal/cli/standin_platform.go
@@ -28,6 +28,9 @@
 
 // Execute serves the platform until SIGTERM.
 func (c *standinPlatformCommand) Execute([]string) error {
+	if err := checkAddresses([]namedAddress{{"--listen", c.Listen}}); err != nil {
+		return err
+	}
 	var vms []platform.VM
 	if c.VMs != "" {
 		if err := readJSON(c.VMs, &vms); err != nil {
--- a/internal/cli/standin_target.go
+++ b/internal/cli/standin_target.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/jessevdk/go-flags"
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/kumquatworks/kumquatworks/internal/standin/exchange"
@@ -45,12 +44,15 @@
 // Execute serves until SIGTERM.
 func (c *standinTargetCommand) Execute([]string) error {
 	if len(c.Health) > 0 && len(c.Health) != len(c.Targets) {
-		return errors.Errorf("--health: %d given for %d targets; give one for each target or none", len(c.Health), len(c.Targets))
+		return usageError("--health: %d given for %d targets; give one for each target or none", len(c.Health), len(c.Targets))
 	}
 	options, addresses, err := c.options()
 	if err != nil {
 		return err
 	}
+	if err := checkAddresses(append([]namedAddress{{"--fabric", c.Fabric}}, healthAddresses(c.Health)...)); err != nil {
+		return err
+	}
 	ctx, stop := untilSignal()
 	defer stop()
 	attachment, err := fabric.Attach(ctx, c.Fabric, c.Place, addresses)
@@ -61,13 +63,21 @@
 	return c.serve(ctx, attachment, options, newLogger(c.streams, "target"))
 }
 
+func healthAddresses(addresses []string) []namedAddress {
+	var list []namedAddress
+	for _, a := range addresses {
+		list = append(list, namedAddress{"--health", a})
+	}
+	return list
+}
+
 func (c *standinTargetCommand) options() ([]target.Options, []netip.Addr, error) {
 	var options []target.Options
 	var addresses []netip.Addr
 	for _, text := range c.Targets {
 		name, endpoint, err := exchange.ParseNamed(text)
 		if err != nil {
-			return nil, nil, errors.Wrap(err, "--target")
+			return nil, nil, usageError("--target: %v", err)
 		}
 		options = append(options, target.Options{
 			Name: name, Service: c.Service, Endpoint: endpoint,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -114,6 +114,19 @@
 	return outcome, record, errors.Wrapf(err, "write %s", key)
 }
 
+// plainError removes method and URL from an error of the HTTP library, because
+// operators read it and the caller names the key.
+func plainError(err error) error {
+	var call *url.Error
+	if errors.As(err, &call) {
+		err = call.Err
+	}
+	if errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "connection closed without an answer")
+	}
+	return errors.WithStack(err)
+}
+
 // writeOutcome maps a complete answer to the outcome of a write.
 func writeOutcome(status int, body []byte) (WriteOutcome, Record, error) {
 	var record Record
@@ -156,7 +169,7 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return 0, nil, errors.WithStack(err)
+		return 0, nil, plainError(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,7 +122,11 @@
 	}
 	s, faults := Parse(data)
 	if len(faults) > 0 {
-		return Settings{}, errors.Wrapf(faults, "settings %s: %d faults", path, len(faults))
+		noun := "faults"
+		if len(faults) == 1 {
+			noun = "fault"
+		}
+		return Settings{}, errors.Wrapf(faults, "settings %s: %d %s", path, len(faults), noun)
 	}
 	return s, nil
 }
--- a/internal/transport/control/operator.go
+++ b/internal/transport/control/operator.go
@@ -39,6 +39,9 @@
 	return response, err
 }
 
+// errNoConfiguration answers a question about an object before the first configuration.
+var errNoConfiguration = twirp.NewError(twirp.InvalidArgument, "this balancer has no configuration in force")
+
 func (p *Plane) targetStatus(now time.Time) []*wire.TargetStatus {
 	var list []*wire.TargetStatus
 	for _, t := range p.options.Core.Targets(now) {
@@ -104,7 +107,7 @@
 func decisionsAbout(decisions []string, addr string) []string {
 	var lines []string
 	for _, d := range decisions {
-		if strings.Contains(d, addr) {
+		if strings.Contains(d, " "+addr+":") {
 			lines = append(lines, d)
 		}
 	}
@@ -116,6 +119,9 @@
 
 // findService looks a service up by name or by address:port.
 func (p *Plane) findService(name string) (objects.Service, error) {
+	if p.inForce.Generation == 0 {
+		return objects.Service{}, errNoConfiguration
+	}
 	addr, addrErr := netip.ParseAddrPort(name)
 	for _, s := range p.inForce.Set.Services {
 		if s.Name == name || addrErr == nil && s.Address == addr.Addr() && s.Port == addr.Port() {
@@ -127,6 +133,9 @@
 }
 
 func (p *Plane) explainTarget(now time.Time, name string) ([]string, error) {
+	if p.inForce.Generation == 0 {
+		return nil, errNoConfiguration
+	}
 	for _, t := range p.options.Core.Targets(now) {
 		if t.Target == name {
 			return append(describeTarget(t), p.agent.DescribeTarget(now, name)...), nil
