Explain why a flow has its target, and what was repaired because of what

Cause: explain flow told neither the candidates that were passed over nor the relays; asked at a balancer other than the owner it showed 0 open flows for every target, and explain fleet did not tell what changed after a balancer died. Ruled out: choosing again when asked, which explains the present and not the choice that was made; a new field of the messages, which balancers of the former version lack; passing a question on without a mark, since balancers whose views differ would pass it to each other. Owners are asked below the path /local, where they answer alone. Change: Choose notes why it passed over each target, at most 32, in the record of the last 512 decisions; explain flow and explain target ask the owner and show its answer first; explain fleet lists changes of members, configuration, alarms and shard owners with causes.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -52,18 +52,23 @@
 // operatorDial returns the client of the balancer at an address.
 type operatorDial func(address string) wire.Operator
 
-// check verifies the addresses and reads the fleet key.
+// check verifies the options and returns the clients of balancers.
 func (o *balancerOptions) check() (operatorDial, error) {
+	key, err := o.key()
+	if err != nil {
+		return nil, err
+	}
+	return func(address string) wire.Operator { return control.NewOperatorClient(address, key) }, nil
+}
+
+// key verifies the addresses and reads the fleet key.
+func (o *balancerOptions) key() ([]byte, error) {
 	for _, address := range o.Balancers {
 		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
 			return nil, usageError("--balancer: %q is not an address:port such as 10.0.0.1:7600", address)
 		}
 	}
-	key, err := readFleetKey(o.FleetKeyFile)
-	if err != nil {
-		return nil, err
-	}
-	return func(address string) wire.Operator { return control.NewOperatorClient(address, key) }, nil
+	return readFleetKey(o.FleetKeyFile)
 }
 
 func readFleetKey(path string) ([]byte, error) {
@@ -95,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	status, err := dial(address).Status(ctx, &wire.StatusRequest{})
-	return status, plainError(err)
+	return status, control.PlainError(err)
 }
 
 func explain(ctx context.Context, dial operatorDial, address string, request *wire.ExplainRequest) ([]string, error) {
@@ -111,26 +116,6 @@
 	return errors.As(err, &rpc) && rpc.Code() == twirp.InvalidArgument
 }
 
-// plainError removes the frame that the RPC library puts around an error.
-func plainError(err error) error {
-	var rpc twirp.Error
-	if !errors.As(err, &rpc) {
-		return err
-	}
-	if rpc.Meta("http_error_from_intermediary") != "" && rpc.Meta("status_code") == "401" {
-		return errors.New("refused the fleet key")
-	}
-	text := strings.TrimPrefix(rpc.Msg(), "failed to do request: ")
-	var call *url.Error
-	if errors.As(err, &call) {
-		text = call.Err.Error() // without the URL of the request
-	}
-	if argument := rpc.Meta("argument"); argument != "" {
-		text = strings.TrimPrefix(text, argument+" ")
-	}
-	return errors.New(text)
-}
-
 // askMembers asks members for their status, a bounded number at a time. The
 // answers and errors are by VM name.
 func askMembers(ctx context.Context, dial operatorDial, members []*wire.Member) (map[string]*wire.StatusResponse, map[string]error) {
--- a/internal/cli/operator_explain.go
+++ b/internal/cli/operator_explain.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/transport/control"
 )
 
 func init() {
@@ -17,7 +18,8 @@
 		name:  "explain",
 		short: "tell why a flow, caller, target or the fleet is in its state",
 		long: "Asks a balancer why. KIND and its arguments: 'flow CALLER SERVICE' (caller address:port; service name or address:port), " +
-			"'caller ADDRESS' (recent decisions about a caller), 'target NAME', 'fleet' (members, alarms and recent decisions). " +
+			"'caller ADDRESS' (recent decisions about a caller), 'target NAME', 'fleet' (members, alarms, what changed and was repaired lately and why, and recent decisions). " +
+			"For a flow or target the balancer asks the owner too, which counts open flows and chooses targets. " +
 			"Works while the platform is down. Exit codes: 0 explained, 1 no such object, 2 wrong use, 4 no balancer answers. " +
 			"Example: kumquatworks explain flow 10.9.0.7:40112 quote-desk --balancer 10.0.0.1:7600 --fleet-key-file fleet.key",
 		build: func(s Streams) flags.Commander { return &explainCommand{streams: s} },
@@ -32,6 +34,8 @@
 		Names []string `positional-arg-name:"ARGUMENT" description:"what to explain"`
 	} `positional-args:"yes"`
 	streams Streams
+	// local dials balancers that answer by themselves.
+	local operatorDial
 }
 
 // explainUses lists the arguments of each kind.
@@ -48,10 +52,12 @@
 	if err != nil {
 		return err
 	}
-	dial, err := c.check()
+	key, err := c.key()
 	if err != nil {
 		return err
 	}
+	dial := func(address string) wire.Operator { return control.NewOperatorClient(address, key) }
+	c.local = func(address string) wire.Operator { return control.NewLocalOperatorClient(address, key) }
 	ctx, stop := untilSignal()
 	defer stop()
 	if c.Everywhere {
@@ -95,9 +101,9 @@
 			return c.print("", lines)
 		}
 		if isInvalid(err) {
-			return plainError(err)
+			return control.PlainError(err)
 		}
-		last = errors.Wrapf(plainError(err), "balancer %s", address)
+		last = errors.Wrapf(control.PlainError(err), "balancer %s", address)
 	}
 	return &ExitError{Code: ExitUnknown, Err: errors.Wrap(last, "no balancer answers")}
 }
@@ -113,10 +119,10 @@
 		if !live(m) {
 			continue
 		}
-		lines, err := explain(ctx, dial, m.Control, request)
+		lines, err := explain(ctx, c.local, m.Control, request)
 		if err != nil {
 			failed++
-			lines = []string{"no answer: " + plainError(err).Error()}
+			lines = []string{"no answer: " + control.PlainError(err).Error()}
 		}
 		if err := c.print(m.Vm+": ", lines); err != nil {
 			return err
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -175,6 +175,10 @@
 
 func (fakeCore) Decisions() []string { return []string{"forward 10.9.0.7:40112 to q-01"} }
 
+func (fakeCore) Repairs() []string { return nil }
+
+func (fakeCore) TargetOwners(string) []string { return nil }
+
 func (fakeCore) Targets(time.Time) []coordination.TargetState {
 	return []coordination.TargetState{
 		{Target: "q-01", Pool: "quotes", Service: "quote-desk", OpenFlows: 3, State: "serving"},
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -208,5 +208,5 @@
 	if d.options.Variant == VariantBounded {
 		method = state.MethodBounded
 	}
-	return d.counts(c).Choose(c.now, c.service, state.FlowHash(c.flow), method, excluded)
+	return d.counts(c).Choose(c.now, c.service, state.FlowHash(c.flow), method, excluded, &d.passed)
 }
--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/health"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/journal"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/membership"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
@@ -85,6 +86,10 @@
 	nextReports  time.Time
 	exchanges    []netip.AddrPort
 	snapshot     *follower.Snapshot
+	// events are the recent changes of members, configuration and alarms.
+	events journal.Log
+	view   coordination.View
+	alarms []Alarm
 }
 
 // New returns a control plane that knows only itself.
@@ -102,6 +107,7 @@
 func (a *Agent) Tick(now time.Time) Output {
 	out := Output{Messages: a.members.Tick(now)}
 	a.updateView(now, &out)
+	a.noteAlarms(now)
 	out.Commands = a.follower.Tick(now)
 	out.Checks = a.health.Tick(now)
 	a.planExchanges(now)
@@ -127,6 +133,7 @@
 		return
 	}
 	a.snapshot = &s
+	a.noteAdoption(now, r, s)
 	a.members.SetGeneration(s.Head.Generation)
 	a.members.Urgent()
 	a.health.SetTargets(now, s.Set.Targets)
@@ -164,6 +171,7 @@
 		return
 	}
 	view := a.members.View()
+	a.noteView(now, view)
 	a.follower.SetView(view)
 	a.health.SetView(now, view)
 	out.View = &view
--- /dev/null
+++ b/internal/coordination/agent/events.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/follower"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// Events tells the recent changes of members, configuration and alarms, oldest first.
+func (a *Agent) Events() []string { return a.events.Lines() }
+
+// noteView notes the balancers that a view adds or lacks.
+func (a *Agent) noteView(now time.Time, view coordination.View) {
+	has := func(v coordination.View, vm string) bool {
+		return slices.ContainsFunc(v.Members, func(m coordination.Member) bool { return m.VM == vm })
+	}
+	for _, m := range view.Members {
+		if !has(a.view, m.VM) {
+			a.events.Add(now, "%s of place %s came in", m.VM, m.Place)
+		}
+	}
+	var states map[string]wire.MemberState
+	for _, m := range a.view.Members {
+		if has(view, m.VM) {
+			continue
+		}
+		if states == nil {
+			states = a.memberStates()
+		}
+		a.events.Add(now, "%s of place %s went: %s", m.VM, m.Place, whyGone(states[m.VM]))
+	}
+	a.view = view
+}
+
+func (a *Agent) memberStates() map[string]wire.MemberState {
+	states := map[string]wire.MemberState{}
+	for _, m := range a.members.Members() {
+		states[m.Vm] = m.State
+	}
+	return states
+}
+
+func whyGone(state wire.MemberState) string {
+	switch state {
+	case wire.MemberState_MEMBER_STATE_DEAD:
+		return "dead, it answered neither this balancer's probes nor those of others"
+	case wire.MemberState_MEMBER_STATE_LEFT:
+		return "it left, or the VM list lacks it"
+	}
+	return strings.ToLower(strings.TrimPrefix(state.String(), "MEMBER_STATE_"))
+}
+
+// noteAdoption notes a configuration that came into force and its source.
+func (a *Agent) noteAdoption(now time.Time, r follower.Result, s follower.Snapshot) {
+	source := "the platform"
+	if r.Command.Kind == follower.FetchPeer {
+		source = r.Command.Peer
+	}
+	a.events.Add(now, "generation %d came into force, read from %s", s.Head.Generation, source)
+}
+
+// noteAlarms notes alarms of the follower that began or ended.
+func (a *Agent) noteAlarms(now time.Time) {
+	alarms := a.follower.Alarms()
+	if slices.Equal(alarms, a.alarms) {
+		return
+	}
+	for _, alarm := range alarms {
+		if !slices.Contains(a.alarms, alarm) {
+			a.events.Add(now, "alarm began: %s", alarm)
+		}
+	}
+	for _, alarm := range a.alarms {
+		if !slices.Contains(alarms, alarm) {
+			a.events.Add(now, "alarm ended: %s", alarm)
+		}
+	}
+	a.alarms = alarms
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/kumquatworks/kumquatworks/internal/coordination/journal"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
@@ -48,6 +49,10 @@
 	// frozen is set after a freeze until a view arrives or the hold-off ends.
 	frozen bool
 	record decisionRecord
+	// passed tells why the last choice of a target passed over the others.
+	passed state.Passed
+	// repairs are the recent changes of ownership.
+	repairs journal.Log
 }
 
 // serviceState is what this balancer knows about a service beside its flows.
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -64,6 +64,12 @@
 	Targets(now time.Time) []TargetState
 	// ExplainFlow tells owner, backup, target and the reasons of the choice, one fact a line.
 	ExplainFlow(now time.Time, flow protocol.FlowKey) []string
+	// FlowOwner returns the VM that decides about a flow; empty without one.
+	FlowOwner(flow protocol.FlowKey) string
+	// TargetOwners returns the VMs that choose the target for new flows.
+	TargetOwners(target string) []string
+	// Repairs tells the recent changes of ownership and their causes, oldest first.
+	Repairs() []string
 	// Decisions returns the bounded record of recent decisions, oldest first.
 	Decisions() []string
 	// Flows returns the number of flow table entries.
--- a/internal/coordination/explain.go
+++ b/internal/coordination/explain.go
@@ -75,16 +75,20 @@
 		lines = append(lines, "the service was removed; established flows continue")
 	}
 	lines = append(lines, d.explainEntry(now, shard, flow)...)
+	lines = append(lines, d.explainChoice(shard, flow)...)
 	if choice := s.Choice(state.FlowHash(flow)); choice != nil {
 		lines = append(lines, fmt.Sprintf("the table alone names target %s", choice.Name))
 	}
+	if shard.role == roleNone {
+		return lines // others count no flows
+	}
 	return append(lines, d.explainTargets(now, s)...)
 }
 
 func (d *Dispatcher) explainEntry(now time.Time, shard *shardState, flow protocol.FlowKey) []string {
 	e, known := d.flows.Get(flow)
 	if !known {
-		return []string{"the flow is unknown here"}
+		return []string{"the flow is unknown here", d.explainUnknown(shard)}
 	}
 	stamp := state.NewStamp(now)
 	age := fmt.Sprintf("known for %s, last packet %s ago", stamp.Since(e.Created), stamp.Since(e.Seen))
@@ -92,13 +96,18 @@
 	case e.Has(state.FlagRefused):
 		return []string{"refused, no target had room; " + age}
 	case e.Has(state.FlagAsking):
-		return []string{"no binding; other balancers are asked; " + age}
+		return []string{"no binding; other balancers are asked; " + age, d.explainUnknown(shard)}
 	}
 	strength := "weak"
 	if shard.strong(&e) {
 		strength = e.Strength.String()
 	}
-	lines := []string{fmt.Sprintf("target %s, binding %s, %s", e.Target, strength, age)}
+	lines := []string{fmt.Sprintf("target %s, binding %s, %s", d.nameTarget(flow, e.Target), strength, age)}
+	if e.Has(state.FlagDoubt) {
+		lines = append(lines, "a packet contradicted the binding; "+d.explainUnknown(shard))
+	} else {
+		lines = append(lines, "packets that agree with the binding go from here to the target without a relay; "+relaysOfEnds(shard))
+	}
 	if e.Has(state.FlagClosed) {
 		lines = append(lines, "the flow is closed")
 	}
--- a/internal/coordination/record.go
+++ b/internal/coordination/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
 // recordedDecisions bounds the record of recent decisions.
@@ -16,6 +17,9 @@
 	action Action
 	target protocol.Endpoint
 	reason Reason
+	// generation and passed are those of the choice of a target.
+	generation uint64
+	passed     state.Passed
 }
 
 // decisionRecord is a ring of the decisions that operators ask about:
@@ -28,7 +32,12 @@
 
 func (d *Dispatcher) note(c *packetContext, a Action, target protocol.Endpoint, r Reason) {
 	k := &d.record
-	k.ring[k.next] = recordedDecision{at: c.now, flow: c.flow, action: a, target: target, reason: r}
+	one := &k.ring[k.next]
+	one.at, one.flow, one.action, one.target, one.reason = c.now, c.flow, a, target, r
+	one.generation = d.table.Generation
+	if one.isChoice() {
+		one.passed.CopyFrom(&d.passed)
+	}
 	k.next = (k.next + 1) % recordedDecisions
 	k.full = k.full || k.next == 0
 }
@@ -44,6 +53,22 @@
 // String returns the name of an action.
 func (a Action) String() string { return actionNames[a] }
 
+// choiceOf returns the latest recorded choice of a target for a flow, or nil.
+func (k *decisionRecord) choiceOf(flow protocol.FlowKey) *recordedDecision {
+	for i := range k.ring {
+		one := &k.ring[(k.next+recordedDecisions-1-i)%recordedDecisions]
+		if one.flow == flow && one.isChoice() {
+			return one
+		}
+	}
+	return nil
+}
+
+// isChoice reports whether the decision chose a target for an opener.
+func (r *recordedDecision) isChoice() bool {
+	return r.reason == ReasonAdmitted || r.reason == ReasonRetried
+}
+
 func (r *recordedDecision) String() string {
 	text := fmt.Sprintf("%s %s -> %s %s %s", r.at.UTC().Format(time.RFC3339Nano),
 		r.flow.Caller, r.flow.Service, r.action, r.reason)
--- a/internal/coordination/tables.go
+++ b/internal/coordination/tables.go
@@ -141,9 +141,13 @@
 		d.members[m.VM] = &m
 	}
 	changed := false
+	var moved ownershipMoves
 	for _, s := range d.shards {
+		before, was := s.holders(), s.role
 		changed = d.move(now, s) || changed
+		moved.note(before, was, s)
 	}
+	d.noteMoves(now, moved)
 	if changed {
 		d.recount()
 	}
--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -44,32 +44,35 @@
 func (c *candidate) openLoad() float64 { return float64(c.load.Open+1) / c.weight }
 
 // Choose returns the target for a new flow, or nil when no target may take one.
-func (c *Counts) Choose(now time.Time, s *Service, flow uint64, method Method, excluded []protocol.Endpoint) *Target {
-	candidates := c.candidates(now, s, excluded)
+// It notes in passed, unless that is nil, why the others were not chosen.
+func (c *Counts) Choose(now time.Time, s *Service, flow uint64, method Method, excluded []protocol.Endpoint, passed *Passed) *Target {
+	passed.start(len(s.Targets))
+	candidates := c.candidates(now, s, excluded, passed)
 	if len(candidates) == 0 {
 		return nil
 	}
 	fair := newShares(candidates)
 	if method == MethodBounded {
-		return highest(fair.within(affinityBound, candidates), flow)
+		return passed.pick(passed.keep(candidates, fair.within(affinityBound, candidates), passedShare), flow)
 	}
 	free := withFreeSlot(candidates, s.Pool.Slots)
 	switch {
 	case len(free) > 0:
-		candidates = free
+		candidates = passed.keep(candidates, free, passedSlots)
 	case s.Pool.Slots > 0:
-		candidates = c.soonestFree(candidates)
+		candidates = passed.keep(candidates, c.soonestFree(candidates), passedWaiting)
 	}
 	if s.Preference == objects.PreferenceEvenness {
-		candidates = lowest(fair.within(evennessBound, candidates), (*candidate).runLoad)
-		return highest(fair.within(evennessTie, candidates), flow)
+		candidates = passed.keep(candidates, fair.within(evennessBound, candidates), passedShare)
+		candidates = passed.keep(candidates, lowest(candidates, (*candidate).runLoad), passedRuns)
+		return passed.pick(passed.keep(candidates, fair.within(evennessTie, candidates), passedOneShare), flow)
 	}
-	return highest(fair.within(affinityBound, candidates), flow)
+	return passed.pick(passed.keep(candidates, fair.within(affinityBound, candidates), passedShare), flow)
 }
 
 // candidates returns the targets that may take a flow. Targets that look bad
 // are left out unless all do.
-func (c *Counts) candidates(now time.Time, s *Service, excluded []protocol.Endpoint) []candidate {
+func (c *Counts) candidates(now time.Time, s *Service, excluded []protocol.Endpoint, passed *Passed) []candidate {
 	var good, usable []candidate
 	for _, t := range s.Targets {
 		l := c.Load(t.Endpoint)
@@ -82,6 +85,7 @@
 			good = append(good, one)
 		}
 	}
+	passed.addExcluded(now, c, s, excluded, len(good) > 0)
 	if len(good) > 0 {
 		return good
 	}
--- a/internal/transport/control/client.go
+++ b/internal/transport/control/client.go
@@ -3,8 +3,13 @@
 import (
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 )
 
@@ -14,6 +19,33 @@
 	return wire.NewOperatorProtobufClient("http://"+addr, newPeerClient(fleetKey, newCounters()))
 }
 
+// NewLocalOperatorClient returns a client whose questions the balancer answers
+// by itself, without asking the owner of a flow or target.
+func NewLocalOperatorClient(addr string, fleetKey []byte) wire.Operator {
+	return wire.NewOperatorProtobufClient("http://"+addr, newPeerClient(fleetKey, newCounters()), twirp.WithClientPathPrefix(localPrefix))
+}
+
+// PlainError removes the frame that the RPC library puts around an error of a
+// client, because operators read it.
+func PlainError(err error) error {
+	var rpc twirp.Error
+	if !errors.As(err, &rpc) {
+		return err
+	}
+	if rpc.Meta("http_error_from_intermediary") != "" && rpc.Meta("status_code") == "401" {
+		return errors.New("refused the fleet key")
+	}
+	text := strings.TrimPrefix(rpc.Msg(), "failed to do request: ")
+	var call *url.Error
+	if errors.As(err, &call) {
+		text = call.Err.Error() // without the URL of the request
+	}
+	if argument := rpc.Meta("argument"); argument != "" {
+		text = strings.TrimPrefix(text, argument+" ")
+	}
+	return errors.New(text)
+}
+
 // newPeerClient returns the client for requests to other balancers. Few
 // connections stay open, because the next exchange goes to another peer.
 func newPeerClient(key []byte, c *counters) *authClient {
--- /dev/null
+++ b/internal/transport/control/explain.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination"
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// localPrefix is the path prefix of the operator service that answers from this
+// balancer alone. Owners are asked there, so that balancers whose views differ
+// do not pass a question on to each other.
+const localPrefix = "/local"
+
+// ownerTimeout bounds a question to an owner. It is below the timeout of the operator commands.
+const ownerTimeout = 1500 * time.Millisecond
+
+// errNoConfiguration answers a question about an object before the first configuration.
+var errNoConfiguration = twirp.NewError(twirp.InvalidArgument, "this balancer has no configuration in force")
+
+// Explain tells why a flow, a target or the fleet is in its state, one fact a line.
+func (s *operatorServer) Explain(ctx context.Context, r *wire.ExplainRequest) (response *wire.ExplainResponse, err error) {
+	p := s.plane
+	if p.options.Core == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "this balancer has no data path")
+	}
+	var lines, owners []string
+	doErr := p.do(ctx, func(now time.Time) {
+		lines, err = p.explain(now, r)
+		owners = p.ownersOf(r)
+	})
+	if doErr != nil {
+		return nil, doErr
+	}
+	if err == nil && !s.local {
+		lines = p.withOwners(ctx, r, lines, owners)
+	}
+	return &wire.ExplainResponse{Lines: lines}, err
+}
+
+// ownersOf returns the balancers that decide about the flow or target that a request names.
+func (p *Plane) ownersOf(r *wire.ExplainRequest) []string {
+	if r.GetTarget() != "" {
+		return p.options.Core.TargetOwners(r.Target)
+	}
+	if _, err := netip.ParseAddrPort(r.GetCaller()); err != nil {
+		return nil
+	}
+	key, err := p.flowKey(r.Caller, r.GetService())
+	if err != nil {
+		return nil
+	}
+	if owner := p.options.Core.FlowOwner(key); owner != "" {
+		return []string{owner}
+	}
+	return nil
+}
+
+// withOwners puts the answers of the owners before the own lines, because only
+// owners count open flows and choose targets.
+func (p *Plane) withOwners(ctx context.Context, r *wire.ExplainRequest, own, owners []string) []string {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	var lines []string
+	for _, vm := range owners {
+		if vm == p.options.VM {
+			lines = append(lines, own...)
+			own = nil
+			continue
+		}
+		answer, err := p.askOwner(ctx, vm, r)
+		if err != nil {
+			lines = append(lines, fmt.Sprintf("the owner %s does not answer: %v", vm, err))
+			continue
+		}
+		lines = append(append(lines, "the owner "+vm+" answers:"), answer...)
+	}
+	if len(lines) > 0 && len(own) > 0 {
+		lines = append(lines, "this is known at "+p.options.VM+":")
+	}
+	return append(lines, own...)
+}
+
+func (p *Plane) askOwner(ctx context.Context, vm string, r *wire.ExplainRequest) ([]string, error) {
+	addr, ok := p.peerAddress(ctx, vm)
+	if !ok {
+		return nil, errors.New("its address is not known")
+	}
+	client := wire.NewOperatorProtobufClient("http://"+addr.String(), p.peers, twirp.WithClientPathPrefix(localPrefix))
+	response, err := client.Explain(ctx, r)
+	return response.GetLines(), PlainError(err)
+}
+
+func (p *Plane) explain(now time.Time, r *wire.ExplainRequest) ([]string, error) {
+	switch {
+	case r.GetCaller() != "":
+		return p.explainFlow(now, r.Caller, r.GetService())
+	case r.GetTarget() != "":
+		return p.explainTarget(now, r.Target)
+	case r.GetFleet():
+		return p.explainFleet(now), nil
+	}
+	return nil, twirp.NewError(twirp.InvalidArgument, "name a caller, a target or the fleet")
+}
+
+// explainFlow needs the caller's port for one flow. With an address alone it
+// returns the recent decisions about that caller.
+func (p *Plane) explainFlow(now time.Time, caller, service string) ([]string, error) {
+	if addr, err := netip.ParseAddr(caller); err == nil {
+		return decisionsAbout(p.options.Core.Decisions(), addr.String()), nil
+	}
+	key, err := p.flowKey(caller, service)
+	if err != nil {
+		return nil, err
+	}
+	return p.options.Core.ExplainFlow(now, key), nil
+}
+
+func (p *Plane) flowKey(caller, service string) (protocol.FlowKey, error) {
+	from, err := netip.ParseAddrPort(caller)
+	if err != nil || !from.Addr().Unmap().Is4() {
+		return protocol.FlowKey{}, twirp.InvalidArgumentError("caller", fmt.Sprintf("%q is not an IPv4 address or address:port", caller))
+	}
+	to, err := p.findService(service)
+	if err != nil {
+		return protocol.FlowKey{}, err
+	}
+	return protocol.FlowKey{
+		Caller:    protocol.NewEndpoint(from),
+		Service:   protocol.NewEndpoint(netip.AddrPortFrom(to.Address, to.Port)),
+		Transport: to.Protocol.Transport(),
+	}, nil
+}
+
+// explainFleet tells members, alarms, what changed lately and why, and the recent decisions.
+func (p *Plane) explainFleet(now time.Time) []string {
+	lines := p.agent.Describe(now)
+	for _, event := range p.agent.Events() {
+		lines = append(lines, "changed: "+event)
+	}
+	for _, repair := range p.options.Core.Repairs() {
+		lines = append(lines, "repaired: "+repair)
+	}
+	for _, decision := range p.options.Core.Decisions() {
+		lines = append(lines, "decided: "+decision)
+	}
+	return lines
+}
+
+func decisionsAbout(decisions []string, addr string) []string {
+	var lines []string
+	for _, d := range decisions {
+		if strings.Contains(d, " "+addr+":") {
+			lines = append(lines, d)
+		}
+	}
+	if len(lines) == 0 {
+		lines = append(lines, "no recent decision about "+addr+"; add the port to explain one flow")
+	}
+	return lines
+}
+
+// findService looks a service up by name or by address:port.
+func (p *Plane) findService(name string) (objects.Service, error) {
+	if p.inForce.Generation == 0 {
+		return objects.Service{}, errNoConfiguration
+	}
+	addr, addrErr := netip.ParseAddrPort(name)
+	for _, s := range p.inForce.Set.Services {
+		if s.Name == name || addrErr == nil && s.Address == addr.Addr() && s.Port == addr.Port() {
+			return s, nil
+		}
+	}
+	message := fmt.Sprintf("no service %q in generation %d", name, p.inForce.Generation)
+	return objects.Service{}, twirp.InvalidArgumentError("service", message)
+}
+
+func (p *Plane) explainTarget(now time.Time, name string) ([]string, error) {
+	if p.inForce.Generation == 0 {
+		return nil, errNoConfiguration
+	}
+	for _, t := range p.options.Core.Targets(now) {
+		if t.Target == name {
+			return append(describeTarget(t), p.agent.DescribeTarget(now, name)...), nil
+		}
+	}
+	message := fmt.Sprintf("no target %q in generation %d", name, p.inForce.Generation)
+	return nil, twirp.InvalidArgumentError("target", message)
+}
+
+func describeTarget(t coordination.TargetState) []string {
+	line := fmt.Sprintf("target %s of pool %s and service %s: %s, %d open flows owned here", t.Target, t.Pool, t.Service, t.State, t.OpenFlows)
+	if t.Reason == "" {
+		return []string{line}
+	}
+	return []string{line, "no new flows: " + t.Reason}
+}
--- a/internal/transport/control/server.go
+++ b/internal/transport/control/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/twitchtv/twirp"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 )
@@ -15,10 +16,12 @@
 // newServer returns the HTTP server of both Twirp services.
 func (p *Plane) newServer() *http.Server {
 	peer := wire.NewPeerServer(&peerServer{p})
-	operator := wire.NewOperatorServer(&operatorServer{p})
+	operator := wire.NewOperatorServer(&operatorServer{plane: p})
+	local := wire.NewOperatorServer(&operatorServer{plane: p, local: true}, twirp.WithServerPathPrefix(localPrefix))
 	mux := http.NewServeMux()
 	mux.Handle(peer.PathPrefix(), peer)
 	mux.Handle(operator.PathPrefix(), operator)
+	mux.Handle(local.PathPrefix(), local)
 	handler := &authHandler{key: p.options.FleetKey, next: mux, refused: p.requestRefused}
 	return &http.Server{
 		Handler:           handler,
