Name the reason of a balancer that lacks a generation, and produce every alarm

Cause: publish named the balancers without the generation and not why, although they raise alarms about it; no script showed the alarms of docs/operations.md, a rollback that is repeated or in conflict, or what the loser of two publishes at once is shown. Change: publish asks the balancers that are behind and adds their alarms. Two faults of the test set-up are mended: it waited until one balancer knew the fleet and then asked another (operator_status failed in 1 of 4 runs), and a free TCP port whose UDP port was taken ended the start (1 of 4 runs); with port 0 others are tried now.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -169,15 +169,15 @@
 }
 
 // refresh asks the live members below a generation themselves, because what
-// members tell about each other lags by up to one exchange. It returns why the rest could not be asked.
-func refresh(ctx context.Context, dial operatorDial, members []*wire.Member, generation uint64) map[string]error {
+// members tell about each other lags by up to one exchange.
+func refresh(ctx context.Context, dial operatorDial, members []*wire.Member, generation uint64) others {
 	answers, failures := askMembers(ctx, dial, behind(members, generation))
 	for _, m := range members {
 		if status := answers[m.Vm]; status != nil {
 			m.Generation = max(m.Generation, status.Generation)
 		}
 	}
-	return failures
+	return others{answers: answers, failures: failures}
 }
 
 // readFleet returns what the publish rules need to know about the balancers.
--- a/internal/cli/operator_progress.go
+++ b/internal/cli/operator_progress.go
@@ -49,7 +49,7 @@
 		w.say(fmt.Sprintf("no balancer answers: %v", err))
 		return false
 	}
-	failures := refresh(ctx, w.dial, status.Members, w.generation)
+	asked := refresh(ctx, w.dial, status.Members, w.generation)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -62,7 +62,7 @@
 	late := behind(status.Members, w.generation)
 	text := fmt.Sprintf("in force at %d of %d live balancers", total-len(late), total)
 	if len(late) > 0 {
-		text += "; missing: " + whyLate(late, failures)
+		text += "; missing: " + whyLate(late, asked)
 	}
 	if gone := notLive(status.Members, w.generation); gone != "" {
 		text += "; not live: " + gone
@@ -79,16 +79,20 @@
 	w.last = text
 }
 
-func whyLate(late []*wire.Member, failures map[string]error) string {
+// whyLate names the balancers without the generation, with what they or others tell about the cause.
+func whyLate(late []*wire.Member, asked others) string {
 	var words []string
 	for _, m := range late {
 		why := fmt.Sprintf("%s has generation %d", m.Vm, m.Generation)
 		if m.State != wire.MemberState_MEMBER_STATE_ALIVE {
 			why += " and is " + stateName(m.State)
 		}
-		if err := failures[m.Vm]; err != nil {
+		if err := asked.failures[m.Vm]; err != nil {
 			why += fmt.Sprintf(" and does not answer (%v)", err)
 		}
+		if alarms := asked.answers[m.Vm].GetAlarms(); len(alarms) > 0 {
+			why += " (" + strings.Join(alarms, "; ") + ")"
+		}
 		words = append(words, why)
 	}
 	return named(words)
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -37,12 +37,16 @@
 	})
 }
 
+// refusedByM3 is the name of a first target with which m3 refuses a configuration.
+const refusedByM3 = "a-refused"
+
 var testKey = []byte("0123456789abcdef")
 
 // operatorFleet is a platform stand-in and three control planes.
 type operatorFleet struct {
-	server *standplatform.Server
+	server atomic.Pointer[standplatform.Server]
 	url    string
+	vms    []platform.VM
 	stop   map[string]func()
 	// crash makes the platform write the next head and then answer nothing more.
 	crash atomic.Bool
@@ -52,13 +56,13 @@
 // ServeHTTP passes calls to the platform until it crashes.
 func (f *operatorFleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if f.crash.Load() && r.Method == http.MethodPut && strings.Contains(r.URL.Path, publish.HeadKey) {
-		f.server.ServeHTTP(httptest.NewRecorder(), r)
+		f.server.Load().ServeHTTP(httptest.NewRecorder(), r)
 		f.dark.Store(true)
 	}
 	if f.dark.Load() {
 		panic(http.ErrAbortHandler)
 	}
-	f.server.ServeHTTP(w, r)
+	f.server.Load().ServeHTTP(w, r)
 }
 
 // Guards against operator commands that report something untrue, exit with the
@@ -78,7 +82,7 @@
 			"switches": func(ts *testscript.TestScript, _ bool, args []string) {
 				var s standplatform.Switches
 				ts.Check(json.Unmarshal([]byte(args[0]), &s))
-				fleetOf(ts).server.Set(s)
+				fleetOf(ts).server.Load().Set(s)
 			},
 			"crash": func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).crash.Store(true) },
 			"recover": func(ts *testscript.TestScript, _ bool, _ []string) {
@@ -86,7 +90,8 @@
 				fleetOf(ts).dark.Store(false)
 			},
 			"stop":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).stop[args[0]]() },
-			"removevm": func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).server.RemoveVM(args[0]) },
+			"removevm": func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).server.Load().RemoveVM(args[0]) },
+			"wipe":     func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).wipe() },
 			"waithead": waitHead,
 			"until":    untilOutput,
 			"json":     jsonFields,
@@ -100,7 +105,7 @@
 
 // start runs the platform and the control planes, and tells the script their addresses.
 func (f *operatorFleet) start(env *testscript.Env) error {
-	f.server = standplatform.NewServer(time.Now, nil)
+	f.server.Store(standplatform.NewServer(time.Now, nil))
 	server := httptest.NewServer(f)
 	f.url = server.URL
 	env.Defer(server.Close)
@@ -113,12 +118,19 @@
 			Data:    netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(4000+i)),
 			Control: netip.MustParseAddrPort("127.0.0.1:0"),
 			Core:    fakeCore{},
+			Validate: func(set objects.Set) error {
+				if vm == "m3" && len(set.Targets) > 0 && set.Targets[0].Name == refusedByM3 {
+					return fmt.Errorf("refused by the test")
+				}
+				return nil
+			},
 		})
 		if err != nil {
 			return err
 		}
 		seeds = append(seeds, plane.Address())
-		f.server.PutVM(platform.VM{Name: vm, Place: fmt.Sprintf("pl-%c", 'a'+i), Control: plane.Address()})
+		f.vms = append(f.vms, platform.VM{Name: vm, Place: fmt.Sprintf("pl-%c", 'a'+i), Control: plane.Address()})
+		f.server.Load().PutVM(f.vms[i])
 		env.Setenv(strings.ToUpper(vm), plane.Address().String())
 		f.run(env, vm, plane)
 	}
@@ -127,9 +139,17 @@
 	if err := os.WriteFile(key, []byte(hex.EncodeToString(testKey)+"\n"), 0o600); err != nil {
 		return err
 	}
-	return f.awaitMembers(seeds[0].String(), len(seeds))
+	for _, seed := range seeds {
+		if err := f.awaitMembers(seed.String(), len(seeds)); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// wipe replaces the platform by one that has the VM list and no records.
+func (f *operatorFleet) wipe() { f.server.Store(standplatform.NewServer(time.Now, f.vms)) }
+
 func (f *operatorFleet) run(env *testscript.Env, vm string, plane *control.Plane) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -38,15 +38,16 @@
 		if pattern.MatchString(ts.ReadFile("stdout")+ts.ReadFile("stderr")) != neg {
 			return
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 	}
 	ts.Fatalf("%v: %s in %s%s", args[1:], args[0], ts.ReadFile("stdout"), ts.ReadFile("stderr"))
 }
 
-// jsonFields fails unless the output is one JSON value that has the named fields.
+// jsonFields fails unless the output is one JSON value, with the named fields.
 func jsonFields(ts *testscript.TestScript, _ bool, args []string) {
-	fields := map[string]any{}
-	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &fields))
+	var value any
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &value))
+	fields, _ := value.(map[string]any)
 	for _, name := range args {
 		if _, has := fields[name]; !has {
 			ts.Fatalf("no field %s", name)
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -150,8 +150,21 @@
 	return err
 }
 
+// freePortAttempts bounds the free TCP ports that are tried until one is free for UDP too.
+const freePortAttempts = 8
+
 // listen opens the TCP listener and the UDP socket on the same port.
 func (p *Plane) listen() error {
+	wanted := p.options.Control
+	err := p.listenOnce()
+	for i := 1; err != nil && wanted.Port() == 0 && i < freePortAttempts; i++ {
+		p.options.Control = wanted
+		err = p.listenOnce()
+	}
+	return err
+}
+
+func (p *Plane) listenOnce() error {
 	tcp, err := net.Listen("tcp", p.options.Control.String())
 	if err != nil {
 		return errors.Wrap(err, "control: listen on TCP")
