--- /dev/null
+++ b/internal/cli/bench_test.go
@@ -0,0 +1,169 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/publish"
+	standplatform "github.com/kumquatworks/kumquatworks/internal/standin/platform"
+)
+
+// benchSizes are numbers of targets; the last is the design scale.
+var benchSizes = []int{500, 2000, 5000}
+
+// benchSet has n targets behind services in the proportion of the design scale.
+func benchSet(n int) objects.Set {
+	var set objects.Set
+	for i := range 5 {
+		set.Places = append(set.Places, objects.Place{Name: fmt.Sprintf("pl-%c", 'a'+i)})
+	}
+	services := n * 1100 / 5000
+	for i := range services {
+		pool := fmt.Sprintf("pool-%04d", i)
+		set.Pools = append(set.Pools, objects.Pool{Name: pool, Slots: 2, Connections: 2000})
+		set.Services = append(set.Services, objects.Service{Name: fmt.Sprintf("service-%04d", i), Address: netip.MustParseAddr(fmt.Sprintf("10.1.%d.%d", i/200, i%200+1)), Port: 443, Protocol: objects.ProtocolQUIC, Pool: pool})
+	}
+	for i := range n {
+		set.Targets = append(set.Targets, objects.Target{
+			Name: fmt.Sprintf("target-%05d", i), Pool: set.Pools[i%services].Name, Place: set.Places[i%5].Name,
+			Address: netip.MustParseAddr(fmt.Sprintf("10.2.%d.%d", i/200, i%200+1)), Port: 8443,
+		})
+	}
+	return objects.WithDefaults(set)
+}
+
+func eachSize(b *testing.B, run func(*testing.B, objects.Set)) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) { run(b, benchSet(n)) })
+	}
+}
+
+// changed returns the set with one target drained.
+func changed(set objects.Set) objects.Set {
+	set.Targets = append([]objects.Target(nil), set.Targets...)
+	set.Targets[len(set.Targets)/2].Drain = true
+	return set
+}
+
+// BenchmarkCheck measures the command check on one file.
+func BenchmarkCheck(b *testing.B) {
+	eachSize(b, func(b *testing.B, set objects.Set) {
+		file := filepath.Join(b.TempDir(), "all.json")
+		assert.NilError(b, os.WriteFile(file, objects.Canonical(set), 0o600))
+		for b.Loop() {
+			var out bytes.Buffer
+			assert.Equal(b, Main([]string{"check", file}, &out, &out), ExitDone, out.String())
+		}
+		b.ReportMetric(float64(len(objects.Canonical(set))), "file-bytes")
+	})
+}
+
+// BenchmarkDiff measures the changes in words for one drained target.
+func BenchmarkDiff(b *testing.B) {
+	eachSize(b, func(b *testing.B, set objects.Set) {
+		after := changed(set)
+		for b.Loop() {
+			assert.Equal(b, len(objects.Changes(set, after)), 1)
+		}
+	})
+}
+
+// countedPlatform counts the calls and the bytes of the values in requests.
+type countedPlatform struct {
+	next         http.Handler
+	calls, bytes float64
+}
+
+func (c *countedPlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.calls++
+	c.bytes += float64(max(r.ContentLength, 0))
+	c.next.ServeHTTP(w, r)
+}
+
+// BenchmarkPublish measures the first publish and that of one drained target at the stand-in.
+func BenchmarkPublish(b *testing.B) {
+	for _, kind := range []string{"first", "drain"} {
+		b.Run(kind, func(b *testing.B) {
+			eachSize(b, func(b *testing.B, set objects.Set) {
+				counted := &countedPlatform{}
+				for b.Loop() {
+					b.StopTimer()
+					counted.next = standplatform.NewServer(time.Now, nil)
+					server := httptest.NewServer(counted)
+					store := platform.NewClient(server.URL)
+					next := set
+					if kind == "drain" {
+						benchPublish(b, store, set)
+						next = changed(set)
+					}
+					counted.calls, counted.bytes = 0, 0
+					b.StartTimer()
+					benchPublish(b, store, next)
+					b.StopTimer()
+					server.Close()
+					b.StartTimer()
+				}
+				b.ReportMetric(counted.calls, "calls")
+				b.ReportMetric(counted.bytes, "written-bytes")
+			})
+		})
+	}
+}
+
+func benchPublish(b *testing.B, store platform.Store, set objects.Set) {
+	p := publish.New(store)
+	plan, err := p.Plan(context.Background(), publish.Request{Set: set, Operator: "bench"}, publish.Fleet{})
+	assert.NilError(b, err)
+	assert.Equal(b, p.Commit(context.Background(), plan).Outcome, publish.OutcomeAccepted)
+}
+
+// BenchmarkStatus measures the answer of one balancer and the report over seven.
+func BenchmarkStatus(b *testing.B) {
+	eachSize(b, func(b *testing.B, set objects.Set) {
+		first, o := benchAnswers(set)
+		var text, raw bytes.Buffer
+		for b.Loop() {
+			text.Reset()
+			raw.Reset()
+			report := newFleetReport(first, o)
+			assert.NilError(b, report.print(&text, false, false))
+			assert.NilError(b, json.NewEncoder(&raw).Encode(report))
+		}
+		b.ReportMetric(float64(proto.Size(first)), "answer-bytes")
+		b.ReportMetric(float64(text.Len()), "text-bytes")
+		b.ReportMetric(float64(raw.Len()), "json-bytes")
+	})
+}
+
+func benchAnswers(set objects.Set) (*wire.StatusResponse, others) {
+	o := others{answers: map[string]*wire.StatusResponse{}}
+	var members []*wire.Member
+	for i := range 7 {
+		vm := fmt.Sprintf("vm-%d", i)
+		members = append(members, &wire.Member{Vm: vm, Place: "pl-a", Data: "10.0.0.1:4754", Control: "10.0.0.1:7600", State: wire.MemberState_MEMBER_STATE_ALIVE, Generation: 1})
+		answer := &wire.StatusResponse{Vm: vm, Generation: 1, Digest: bytes.Repeat([]byte{1}, 32)}
+		for _, t := range set.Targets {
+			answer.Targets = append(answer.Targets, &wire.TargetStatus{Target: t.Name, Pool: t.Pool, Service: strings.Replace(t.Pool, "pool", "service", 1), State: "serving", AgeSeconds: 1.5})
+		}
+		o.answers[vm] = answer
+	}
+	first := o.answers["vm-0"]
+	first.Members = members
+	return first, o
+}
--- a/internal/cli/operator_print.go
+++ b/internal/cli/operator_print.go
@@ -9,7 +9,7 @@
 	"text/tabwriter"
 )
 
-// maxListed bounds the VMs and targets that the text form lists; JSON has them all.
+// maxListed bounds the VMs, pools and targets that the text form lists; JSON has them all.
 const maxListed = 50
 
 // print writes the report as text.
@@ -22,7 +22,7 @@
 	fmt.Fprintf(&b, "%s; figures from %s, asked now; flow table entries: %d\n", inForce, count(r.Answers, "balancer"), r.Flows)
 	r.printPlaces(&b)
 	r.printVMs(&b)
-	r.printPools(&b)
+	r.printPools(&b, allTargets)
 	r.printTargets(&b, allTargets)
 	if counters {
 		r.printCounters(&b)
@@ -90,9 +90,15 @@
 	_ = table.Flush() // writes to memory
 }
 
-func (r *fleetReport) printPools(b *bytes.Buffer) {
+// printPools lists the pools; of many pools only those with a target that does not serve normally.
+func (r *fleetReport) printPools(b *bytes.Buffer, all bool) {
+	shown := r.Pools
+	if !all && len(shown) > maxListed {
+		shown = slices.DeleteFunc(slices.Clone(shown), func(p poolReport) bool { return p.States["serving"] == p.Targets })
+		shown = shown[:min(len(shown), maxListed)]
+	}
 	table := newTable(b, "\nPOOL\tSERVICE\tTARGETS\tOPEN FLOWS\tIMBALANCE\tDRAINING\tCOLD\tSHEDDING\tUNHEALTHY\tFULL")
-	for _, p := range r.Pools {
+	for _, p := range shown {
 		imbalance := "-"
 		if p.Imbalance > 0 {
 			imbalance = fmt.Sprintf("%.2f", p.Imbalance)
@@ -100,6 +106,9 @@
 		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Service, p.Targets, p.OpenFlows, imbalance,
 			p.States["draining"], p.States["cold"], p.States["shedding"], p.States["unhealthy"], p.States["full"])
 	}
+	if rest := len(r.Pools) - len(shown); rest > 0 {
+		fmt.Fprintf(table, "and %d more; --targets lists all\n", rest)
+	}
 	_ = table.Flush() // writes to memory
 }
 
--- a/internal/cli/operator_status.go
+++ b/internal/cli/operator_status.go
@@ -25,7 +25,7 @@
 	balancerOptions
 	JSON     bool `long:"json" description:"print JSON"`
 	Local    bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns, and generations of others may be 10 s old"`
-	Targets  bool `long:"targets" description:"list every target, also those that serve normally"`
+	Targets  bool `long:"targets" description:"list every pool and target, also those that serve normally"`
 	Counters bool `long:"counters" description:"list the counters, summed over the balancers since their start"`
 	streams  Streams
 }
--- a/internal/coordination/follower/events.go
+++ b/internal/coordination/follower/events.go
@@ -145,7 +145,7 @@
 		f.refuse(r.Command.Head, verdict)
 		return Snapshot{}, false
 	}
-	return f.adopt(Snapshot{Head: r.Command.Head, Set: set})
+	return f.adopt(Snapshot{Head: r.Command.Head, Set: set, raw: r.Snapshot})
 }
 
 func (f *Follower) handleFetch(now time.Time, r Result) (Snapshot, bool) {
@@ -161,7 +161,7 @@
 	set, verdict := f.verify(r.Head, raw)
 	if verdict == verdictGood {
 		f.fetch.done(now)
-		return f.adopt(Snapshot{Head: r.Head, Set: set})
+		return f.adopt(Snapshot{Head: r.Head, Set: set, raw: raw})
 	}
 	if verdict == verdictCorrupted && len(r.Snapshot) == 0 {
 		f.wanted.whole = r.Command.Peer
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -71,6 +71,9 @@
 type Snapshot struct {
 	Head Head
 	Set  objects.Set
+	// raw is the JSON that has the digest of Head. Peers are served these bytes,
+	// because another version of the program may encode the same set differently.
+	raw []byte
 }
 
 // Alarm tells an operator that something needs attention.
--- a/internal/coordination/follower/snapshots.go
+++ b/internal/coordination/follower/snapshots.go
@@ -46,7 +46,9 @@
 		return Snapshot{}, false
 	}
 	if f.current.Head.Generation > 0 {
-		f.history = append([]Snapshot{f.current}, f.history...)
+		former := f.current
+		former.raw = nil // deltas need the set alone
+		f.history = append([]Snapshot{former}, f.history...)
 		f.history = f.history[:min(len(f.history), maxHistory)]
 	}
 	f.current = s
@@ -68,12 +70,11 @@
 	if f.current.Head.Generation == 0 {
 		return response
 	}
-	whole := objects.Canonical(f.current.Set)
-	if delta := f.deltaFrom(hex.EncodeToString(base)); len(delta) > 0 && len(delta) < len(whole) {
+	if delta := f.deltaFrom(hex.EncodeToString(base)); len(delta) > 0 && len(delta) < len(f.current.raw) {
 		response.Delta = delta
 		return response
 	}
-	response.Snapshot = whole
+	response.Snapshot = f.current.raw
 	return response
 }
 
