--- a/internal/transport/control/explain.go
+++ b/internal/transport/control/explain.go
@@ -71,6 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var lines []string
+	silent := 0
 	for _, vm := range owners {
 		if vm == p.options.VM {
 			lines = append(lines, own...)
@@ -79,11 +80,15 @@
 		}
 		answer, err := p.askOwner(ctx, vm, r)
 		if err != nil {
+			silent++
 			lines = append(lines, fmt.Sprintf("the owner %s does not answer: %v", vm, err))
 			continue
 		}
 		lines = append(append(lines, "the owner "+vm+" answers:"), answer...)
 	}
+	if r.GetTarget() != "" && len(lines) > 0 && silent == 0 {
+		return lines // the own lines would repeat the answers, without the open flows
+	}
 	if len(lines) > 0 && len(own) > 0 {
 		lines = append(lines, "this is known at "+p.options.VM+":")
 	}
@@ -93,7 +98,7 @@
 func (p *Plane) askOwner(ctx context.Context, vm string, r *wire.ExplainRequest) ([]string, error) {
 	addr, ok := p.peerAddress(ctx, vm)
 	if !ok {
-		return nil, errors.New("its address is not known")
+		return nil, errors.New("it is not among the live balancers any more")
 	}
 	client := wire.NewOperatorProtobufClient("http://"+addr.String(), p.peers, twirp.WithClientPathPrefix(localPrefix))
 	response, err := client.Explain(ctx, r)
