Test the attention lines about pools and balancers that are behind

Cause: no test showed the lines for a suspected balancer, a balancer behind the fleet and a pool without a usable target, which docs/operations.md lists. Change: TestAttentionLines.

--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -235,6 +235,21 @@
 	assert.DeepEqual(t, r.Attention, []string{"m2: odd", "m3: does not answer: timeout", "m4: is dead, last heard 0.0 s ago"})
 }
 
+// Guards against a pool without a usable target, or a balancer behind, that needs no attention.
+func TestAttentionLines(t *testing.T) {
+	unusable := []*wire.TargetStatus{{Target: "t1", Pool: "p", State: "draining"}, {Target: "t2", Pool: "p", State: "unhealthy"}}
+	members := []*wire.Member{
+		{Vm: "m1", State: wire.MemberState_MEMBER_STATE_ALIVE}, {Vm: "m2", State: wire.MemberState_MEMBER_STATE_SUSPECT},
+		{Vm: "m3", State: wire.MemberState_MEMBER_STATE_ALIVE},
+	}
+	first := &wire.StatusResponse{Vm: "m1", Generation: 4, Members: members, Targets: unusable, PlatformAgeSeconds: -1}
+	behind := &wire.StatusResponse{Vm: "m3", Generation: 3, PlatformAgeSeconds: -1}
+	r := newFleetReport(first, others{answers: map[string]*wire.StatusResponse{"m3": behind}})
+	assert.DeepEqual(t, r.Attention, []string{
+		"m2: is suspect, last heard 0.0 s ago", "m3: has generation 3, the fleet has 4", "pool p: no target takes new flows by choice",
+	})
+}
+
 // Guards against a table of objects in docs/configuration.md that differs from the checks in the code.
 func TestConfigurationPageFollowsCode(t *testing.T) {
 	page, err := os.ReadFile("../../docs/configuration.md")
