--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/hex"
-	"net"
+	"net/netip"
 	"net/url"
 	"os"
 	"strings"
@@ -52,20 +52,25 @@
 // operatorDial returns the client of the balancer at an address.
 type operatorDial func(address string) wire.Operator
 
-// check verifies the addresses and reads the fleet key.
+// check verifies the options and returns the clients of balancers.
 func (o *balancerOptions) check() (operatorDial, error) {
-	for _, address := range o.Balancers {
-		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
-			return nil, usageError("--balancer: %q is not an address:port", address)
-		}
-	}
-	key, err := readFleetKey(o.FleetKeyFile)
+	key, err := o.key()
 	if err != nil {
 		return nil, err
 	}
 	return func(address string) wire.Operator { return control.NewOperatorClient(address, key) }, nil
 }
 
+// key verifies the addresses and reads the fleet key.
+func (o *balancerOptions) key() ([]byte, error) {
+	for _, address := range o.Balancers {
+		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
+			return nil, usageError("--balancer: %q is not an address:port such as 10.0.0.1:7600", address)
+		}
+	}
+	return readFleetKey(o.FleetKeyFile)
+}
+
 func readFleetKey(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -95,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	status, err := dial(address).Status(ctx, &wire.StatusRequest{})
-	return status, plainError(err)
+	return status, control.PlainError(err)
 }
 
 func explain(ctx context.Context, dial operatorDial, address string, request *wire.ExplainRequest) ([]string, error) {
@@ -111,22 +116,6 @@
 	return errors.As(err, &rpc) && rpc.Code() == twirp.InvalidArgument
 }
 
-// plainError removes the frame that the RPC library puts around an error.
-func plainError(err error) error {
-	var rpc twirp.Error
-	if !errors.As(err, &rpc) {
-		return err
-	}
-	if rpc.Meta("http_error_from_intermediary") != "" && rpc.Meta("status_code") == "401" {
-		return errors.New("refused the fleet key")
-	}
-	text := strings.TrimPrefix(rpc.Msg(), "failed to do request: ")
-	if argument := rpc.Meta("argument"); argument != "" {
-		text = strings.TrimPrefix(text, argument+" ")
-	}
-	return errors.New(text)
-}
-
 // askMembers asks members for their status, a bounded number at a time. The
 // answers and errors are by VM name.
 func askMembers(ctx context.Context, dial operatorDial, members []*wire.Member) (map[string]*wire.StatusResponse, map[string]error) {
@@ -180,15 +169,15 @@
 }
 
 // refresh asks the live members below a generation themselves, because what
-// members tell about each other lags by up to one exchange. It returns why the rest could not be asked.
-func refresh(ctx context.Context, dial operatorDial, members []*wire.Member, generation uint64) map[string]error {
+// members tell about each other lags by up to one exchange.
+func refresh(ctx context.Context, dial operatorDial, members []*wire.Member, generation uint64) others {
 	answers, failures := askMembers(ctx, dial, behind(members, generation))
 	for _, m := range members {
 		if status := answers[m.Vm]; status != nil {
 			m.Generation = max(m.Generation, status.Generation)
 		}
 	}
-	return failures
+	return others{answers: answers, failures: failures}
 }
 
 // readFleet returns what the publish rules need to know about the balancers.
--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -49,44 +49,49 @@
 func (c *candidate) openLoad() float64 { return float64(c.load.Open+1) / c.weight }
 
 // Choose returns the target for a new flow, or nil when no target may take one.
-func (c *Counts) Choose(now time.Time, s *Service, flow uint64, method Method, excluded []protocol.Endpoint) *Target {
-	candidates := c.candidates(now, s, excluded)
+// It notes in passed, unless that is nil, why the others were not chosen.
+func (c *Counts) Choose(now time.Time, s *Service, flow uint64, method Method, excluded []protocol.Endpoint, passed *Passed) *Target {
+	passed.start(len(s.Targets))
+	candidates := c.candidates(now, s, excluded, passed)
 	if len(candidates) == 0 {
 		return nil
 	}
 	fair := newShares(candidates, c.meanRun)
 	if method == MethodBounded {
 		fair.work = 0
-		return highest(fair.within(affinityBound, candidates), flow)
+		return passed.pick(passed.keep(candidates, fair.within(affinityBound, candidates), passedShare), flow)
 	}
 	bound := affinityBound
 	if s.Preference == objects.PreferenceEvenness {
 		bound = evennessBound
 	}
-	candidates = c.available(fair, bound, s.Pool.Slots, candidates)
+	candidates = c.available(fair, bound, s.Pool.Slots, candidates, passed)
 	if s.Preference == objects.PreferenceEvenness {
-		return highest(lowest(lowest(candidates, (*candidate).runLoad), fair.workLoad), flow)
+		candidates = passed.keep(candidates, lowest(candidates, (*candidate).runLoad), passedRuns)
+		candidates = passed.keep(candidates, lowest(candidates, fair.workLoad), passedWork)
 	}
-	return highest(candidates, flow)
+	return passed.pick(candidates, flow)
 }
 
 // available keeps the targets with a free slot that stay within the bound. When
 // no slot is free, it keeps those within the bound that have one soonest: in a
 // surge of long flows, which look like requests at first, these must be spread too.
-func (c *Counts) available(fair shares, bound float64, slots uint32, all []candidate) []candidate {
-	if free := withFreeSlot(all, slots); len(free) > 0 {
-		return fair.within(bound, free)
+func (c *Counts) available(fair shares, bound float64, slots uint32, all []candidate, passed *Passed) []candidate {
+	free := withFreeSlot(all, slots)
+	if len(free) > 0 {
+		free = passed.keep(all, free, passedSlots)
+		return passed.keep(free, fair.within(bound, free), passedShare)
 	}
-	all = fair.within(bound, all)
+	all = passed.keep(all, fair.within(bound, all), passedShare)
 	if slots == 0 {
 		return all
 	}
-	return c.soonestFree(all)
+	return passed.keep(all, c.soonestFree(all), passedWaiting)
 }
 
 // candidates returns the targets that may take a flow. Targets that look bad
 // are left out unless all do.
-func (c *Counts) candidates(now time.Time, s *Service, excluded []protocol.Endpoint) []candidate {
+func (c *Counts) candidates(now time.Time, s *Service, excluded []protocol.Endpoint, passed *Passed) []candidate {
 	var good, usable []candidate
 	for _, t := range s.Targets {
 		l := c.Load(t.Endpoint)
@@ -99,6 +104,7 @@
 			good = append(good, one)
 		}
 	}
+	passed.addExcluded(now, c, s, excluded, len(good) > 0)
 	if len(good) > 0 {
 		return good
 	}
