Open a balancer process without running it, so that one program can run several

Cause: RunProcess published its variables under one expvar name and needed fixed ports, so a program could run one balancer only, and only on ports known before. Ruled out: free ports found by opening and closing a socket, because another process may take the port in between. Change: NewProcess opens the sockets and Run serves; port 0 takes a free port, and the control plane announces the address in use. Addresses, generation, members and control counters can be read. RunProcess keeps its behaviour for the command. The caller stand-in has a time limit for answers as an option (default 20 s, as before), and a target stand-in tells its open connections.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -30,8 +30,8 @@
 	// idleTimeout is how long a connection without keepalives survives silence.
 	idleTimeout = 2 * time.Minute
 	keepalive   = 500 * time.Millisecond
-	// answerTimeout bounds the wait for one answer.
-	answerTimeout = 20 * time.Second
+	// defaultAnswerTimeout bounds the wait for one answer.
+	defaultAnswerTimeout = 20 * time.Second
 )
 
 // Options are the parameters of a caller.
@@ -43,6 +43,8 @@
 	Endpoint netip.AddrPort
 	// Prefix starts each request id, so that ids of several callers differ.
 	Prefix string
+	// AnswerTimeout bounds the wait for one answer; 0 is 20 s.
+	AnswerTimeout time.Duration
 }
 
 // Caller sends requests and holds feeds. It is safe for concurrent use.
@@ -57,6 +59,9 @@
 
 // New returns a caller on an attachment.
 func New(attachment *fabric.Attachment, o Options) *Caller {
+	if o.AnswerTimeout == 0 {
+		o.AnswerTimeout = defaultAnswerTimeout
+	}
 	return &Caller{options: o, attachment: attachment, report: newReport(o.Service)}
 }
 
--- a/internal/standin/caller/feed.go
+++ b/internal/standin/caller/feed.go
@@ -67,7 +67,7 @@
 	if err := exchange.WriteLine(stream, f.request); err != nil {
 		return nil, err
 	}
-	_ = stream.SetReadDeadline(time.Now().Add(answerTimeout))
+	_ = stream.SetReadDeadline(time.Now().Add(f.caller.options.AnswerTimeout))
 	defer stream.SetReadDeadline(time.Time{})
 	reader := exchange.NewReader(stream)
 	header, err := readHeader(reader, f.request)
@@ -133,7 +133,7 @@
 			f.fail(errors.Wrapf(errForeign, "echo %d in place of %d", got, number))
 		}
 	case <-f.done:
-	case <-time.After(answerTimeout):
+	case <-time.After(f.caller.options.AnswerTimeout):
 		f.fail(errors.New("no echo"))
 	}
 }
@@ -159,7 +159,7 @@
 	f.stream.Close()
 	select {
 	case <-f.done:
-	case <-time.After(answerTimeout):
+	case <-time.After(f.caller.options.AnswerTimeout):
 		f.fail(errors.New("feed did not end"))
 	}
 	f.flow.close()
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return "", errors.WithStack(err)
 	}
-	_ = stream.SetDeadline(time.Now().Add(answerTimeout))
+	_ = stream.SetDeadline(time.Now().Add(c.options.AnswerTimeout))
 	upload := exchange.Body("upload "+request.ID, request.Upload)
 	if err := exchange.WriteLine(stream, request); err != nil {
 		return "", err
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -212,6 +212,9 @@
 	return report
 }
 
+// OpenConnections is the number of connections that are open now.
+func (t *Target) OpenConnections() int { return t.record.connections() }
+
 // serverTLS returns a configuration with a fresh self-signed certificate.
 func serverTLS() (*tls.Config, error) {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
--- a/internal/transport/process.go
+++ b/internal/transport/process.go
@@ -29,21 +29,34 @@
 	traceFlushLimit = 2 * time.Second
 )
 
-// RunProcess runs a balancer with its control plane until ctx ends and the
-// balancer has left. Log lines go to logs, and spans too unless the settings
-// name a file. It publishes its variables under the expvar name "kumquatworks",
-// so a program can call it once.
-func RunProcess(ctx context.Context, s settings.Settings, logs io.Writer) error {
+// Process is a balancer with its control plane and its tracer.
+type Process struct {
+	balancer *Balancer
+	plane    *control.Plane
+	tracer   *telemetry.Tracer
+	spans    io.WriteCloser
+}
+
+// NewProcess opens the sockets of a balancer with its control plane. Run must
+// follow. Log lines go to logs, and spans too unless the settings name a file.
+// Port 0 in the data or control address takes a free port.
+func NewProcess(s settings.Settings, logs io.Writer) (*Process, error) {
 	spans, err := openSpans(s.Trace, logs)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer spans.Close()
-	tracer, err := telemetry.NewTracer(spans, s.Trace.Share, s.VM, s.Place)
-	if err != nil {
+	p := &Process{spans: spans}
+	if err := p.open(s, logs); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) open(s settings.Settings, logs io.Writer) (err error) {
+	if p.tracer, err = telemetry.NewTracer(p.spans, s.Trace.Share, s.VM, s.Place); err != nil {
 		return err
 	}
-	defer closeTracer(tracer)
 	seed := xxhash.Sum64String(s.VM) ^ uint64(time.Now().UnixNano())
 	core := coordination.NewDispatcher(coordination.Options{
 		Self:         s.VM,
@@ -53,25 +66,67 @@
 		IdleTimeout:  s.Timers.Idle.Duration(),
 		Seed:         seed,
 	})
-	b, err := New(Options{Settings: s, Core: core, Logger: telemetry.NewLogger(logs, s.LogLevel), Tracer: tracer})
-	if err != nil {
+	logger := telemetry.NewLogger(logs, s.LogLevel)
+	if p.balancer, err = New(Options{Settings: s, Core: core, Logger: logger, Tracer: p.tracer}); err != nil {
 		return err
 	}
-	plane, err := control.New(b.planeOptions(seed))
-	if err != nil {
-		b.closeSocket()
-		return err
+	if p.plane, err = control.New(p.balancer.planeOptions(seed)); err != nil {
+		p.balancer.closeSocket()
 	}
-	vars := b.Vars()
-	vars.Set("control", expvar.Func(func() any { return plane.Counters() }))
-	expvar.Publish("kumquatworks", vars)
+	return err
+}
+
+// close writes the last spans. The process ends, so a failure has no consequence.
+func (p *Process) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushLimit)
+	defer cancel()
+	_ = p.tracer.Close(ctx)
+	_ = p.spans.Close()
+}
+
+// Run serves until ctx ends and the balancer has left.
+func (p *Process) Run(ctx context.Context) error {
+	defer p.close()
+	return p.balancer.Run(ctx, p.plane)
+}
+
+// DataAddress is the address of the data socket.
+func (p *Process) DataAddress() netip.AddrPort { return p.balancer.Address() }
+
+// ControlAddress is the address of probes and control requests.
+func (p *Process) ControlAddress() netip.AddrPort { return p.plane.Address() }
+
+// Generation is the generation in force, 0 before the first.
+func (p *Process) Generation() uint64 { return p.balancer.generation() }
+
+// Members is the number of live members in the view, with this balancer.
+func (p *Process) Members() int { return len(*p.balancer.members.Load()) }
+
+// ControlCounters returns the totals of the control plane by name.
+func (p *Process) ControlCounters() map[string]uint64 { return p.plane.Counters() }
+
+// Vars returns the variables of the process for expvar.
+func (p *Process) Vars() *expvar.Map {
+	vars := p.balancer.Vars()
+	vars.Set("control", expvar.Func(func() any { return p.plane.Counters() }))
+	return vars
+}
+
+// RunProcess runs a balancer with its control plane until ctx ends and the
+// balancer has left. It publishes its variables under the expvar name
+// "kumquatworks", so a program can call it once.
+func RunProcess(ctx context.Context, s settings.Settings, logs io.Writer) error {
 	stop, err := serveDebug(s.DebugAddress)
 	if err != nil {
-		b.closeSocket()
 		return err
 	}
 	defer stop()
-	return b.Run(ctx, plane)
+	p, err := NewProcess(s, logs)
+	if err != nil {
+		return err
+	}
+	expvar.Publish("kumquatworks", p.Vars())
+	return p.Run(ctx)
 }
 
 // planeOptions connects the control plane to the decision code.
@@ -80,7 +135,7 @@
 	return control.Options{
 		VM:         s.VM,
 		Place:      s.Place,
-		Data:       s.DataAddress,
+		Data:       b.Address(),
 		Control:    s.ControlAddress,
 		Seeds:      s.Seeds,
 		FleetKey:   s.FleetKey,
@@ -121,13 +176,6 @@
 
 func (nopCloser) Close() error { return nil }
 
-// closeTracer writes the last spans. The process ends, so a failure has no consequence.
-func closeTracer(t *telemetry.Tracer) {
-	ctx, cancel := context.WithTimeout(context.Background(), traceFlushLimit)
-	defer cancel()
-	_ = t.Close(ctx)
-}
-
 // serveDebug serves expvar under /debug/vars. Without an address it serves nothing.
 func serveDebug(address netip.AddrPort) (stop func(), err error) {
 	if !address.IsValid() {
