Check counters and spans of a balancer process against the operations page

Cause: counters and spans had tests of their packages only; nothing showed that a running process writes what the page lists. Found: /debug/vars and the spans ingress, relay, owner decision and target are as documented, and join by TraceID over three processes. The page did not say that a counter appears with its first count, that reasons keep their hyphens there, and that the attributes caller, service and action belong to ingress and relay only. Ruled out: reading the member count at once. The script waits for the members.

--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -29,6 +29,8 @@
 			"answers": answersCommand,
 			"live":    liveCommand,
 			"report":  reportCommand,
+			"spans":   spansCommand,
+			"until":   untilCommand,
 		},
 	})
 }
@@ -69,3 +71,9 @@
 		ts.Fatalf("%s: no match for %s in %s", args[0], args[1], text)
 	}
 }
+
+// untilCommand waits until the answer at a URL matches a pattern.
+func untilCommand(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[1])
+	await(ts, args[0]+" matches "+args[1], func() bool { return pattern.MatchString(getText(ts, args[0])) })
+}
