Resolve QUIC handshakes that two owners sent to two targets

Cause: while views differ, two owners forward copies of one opener, and a QUIC ClientHello of two datagrams may even be split between two targets. Packet traces of stalled flows showed three faults:

- A target that gets a packet of a connection it does not have sends a stateless reset.
The owner took it for data and moved the flow to that target.
- The caller took the answer of a target that only the other owner knew.
The owner went on sending the caller's Initials, addressed to that answer, to its own target.
- The backup, itself an owner in an earlier view, dropped answers that the owner passed.

Change: a return packet that does not begin with the caller's connection id takes no flow from a bound target. An Initial that is addressed neither to the first connection id nor to the bound target's is relayed to the balancers that may know its target. The backup follows the owner while its binding is tentative.

The three new unit tests fail without the change.

Conclusion: not solved for a cold start. When the other owner is neither owner nor backup in the view that forms, the Initials reach it too rarely before the caller gives up.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -56,6 +56,8 @@
 			return drop(ReasonLateOpener)
 		}
 		return d.admit(c)
+	case same && d.tookOther(c):
+		return d.towardsOther(c)
 	case !c.strong():
 		return d.openerOnWeak(c)
 	case e.Strength == state.StrengthTentative && !e.Has(state.FlagAnswered):
@@ -197,7 +199,11 @@
 	d.save(c)
 	d.counts(c).StartRun(c.now, c.flow, target, c.hidden())
 	if c.service.Protocol != objects.ProtocolUDP {
-		d.serviceState(c.service.Address).attempts[c.flow] = &attempt{deadline: c.now.Add(c.service.OpenTimeout)}
+		one := &attempt{deadline: c.now.Add(c.service.OpenTimeout)}
+		if c.service.Protocol == objects.ProtocolQUIC && p.HasTag {
+			one.tag = p.Tag
+		}
+		d.serviceState(c.service.Address).attempts[c.flow] = one
 	}
 	return true
 }
--- a/internal/coordination/conflict.go
+++ b/internal/coordination/conflict.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
@@ -19,6 +20,8 @@
 	case e.Has(state.FlagClosed):
 		d.adopt(c)
 		return ""
+	case d.isStrayReset(c):
+		return ReasonWrongGuess
 	case e.Strength == state.StrengthTentative:
 		return d.conflictOnTentative(c)
 	case e.Has(state.FlagDoubt) && !c.isAnswer():
@@ -29,10 +32,30 @@
 	return ReasonForeignAnswer
 }
 
-// conflictOnTentative adopts the other target when it alone has answered or when it sends data.
+// isStrayReset reports whether a return packet may be a stateless reset. A QUIC
+// target sends one for a packet of a connection that it does not have. It looks
+// like data, but does not begin with the caller's connection id. Nothing can be
+// told when the caller has none and the opener tag is that of its opener.
+func (d *Dispatcher) isStrayReset(c *packetContext) bool {
+	e, p := &c.entry, &c.in.Packet
+	if c.service.Protocol != objects.ProtocolQUIC || c.isAnswer() || !e.Has(state.FlagOpenerTag) {
+		return false
+	}
+	a, ok := d.serviceState(c.service.Address).attempts[c.flow]
+	return ok && a.tag != 0 && a.tag != e.OpenerTag && p.HasTag && p.Tag != e.OpenerTag
+}
+
+// passedByOwner reports whether the owner has judged a return packet and passed it to this backup.
+func (c *packetContext) passedByOwner() bool {
+	owner := c.shard.owner()
+	return c.shard.role == roleBackup && owner != nil && c.in.From == owner.Data
+}
+
+// conflictOnTentative adopts the other target when it alone has answered, when
+// it sends data, or when the owner passed its answer.
 func (d *Dispatcher) conflictOnTentative(c *packetContext) Reason {
 	e, p := &c.entry, &c.in.Packet
-	if c.isAnswer() && e.Has(state.FlagAnswered) {
+	if c.isAnswer() && e.Has(state.FlagAnswered) && !c.passedByOwner() {
 		d.noteRival(c)
 		return ReasonForeignAnswer
 	}
--- /dev/null
+++ b/internal/coordination/conflict_test.go
@@ -0,0 +1,133 @@
+package coordination
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/objects"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+// Tags of the packets below: the connection ids of a caller and of two targets.
+const (
+	firstTag    = 1
+	callerTag   = 2
+	answerTag   = 50
+	rivalTag    = 60
+	unknownTag  = 77
+	payloadSize = 100
+)
+
+// conflict is one balancer of three with a QUIC service and two targets.
+type conflict struct {
+	d       *Dispatcher
+	now     time.Time
+	service protocol.Endpoint
+	caller  protocol.Endpoint
+	targets []protocol.Endpoint
+	members []Member
+}
+
+// newConflict returns the balancer with a role in the shard of the service.
+func newConflict(t *testing.T, want role) *conflict {
+	x := &conflict{now: time.Unix(1_800_000_000, 0)}
+	x.service = protocol.NewEndpoint(netip.MustParseAddrPort("10.0.0.1:443"))
+	x.caller = protocol.NewEndpoint(netip.MustParseAddrPort("10.9.0.1:1000"))
+	set := objects.Set{
+		Places:   []objects.Place{{Name: "p0"}},
+		Services: []objects.Service{{Name: "s", Address: netip.MustParseAddr("10.0.0.1"), Port: 443, Protocol: objects.ProtocolQUIC, Pool: "p"}},
+		Pools:    []objects.Pool{{Name: "p", Slots: 1, Connections: 100}},
+	}
+	for i := range 2 {
+		address := netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)})
+		set.Targets = append(set.Targets, objects.Target{Name: fmt.Sprintf("t%d", i), Pool: "p", Place: "p0", Address: address, Port: 443, Weight: 100})
+		x.targets = append(x.targets, protocol.NewEndpoint(netip.AddrPortFrom(address, 443)))
+	}
+	for i := range 3 {
+		x.members = append(x.members, Member{VM: fmt.Sprintf("vm-%d", i), Place: "p0", Data: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7000+i))})
+	}
+	table, err := state.NewTable(1, "digest", set)
+	assert.NilError(t, err)
+	for _, m := range x.members {
+		x.d = NewDispatcher(Options{Self: m.VM, Place: "p0"})
+		x.d.AdoptTable(x.now, table)
+		x.d.SetView(x.now, View{Members: x.members})
+		s, _ := x.d.serviceAt(state.Address{Endpoint: x.service, Transport: protocol.TransportUDP})
+		if x.d.shardOf(s, protocol.FlowKey{Caller: x.caller, Service: x.service, Transport: protocol.TransportUDP}).role == want {
+			return x
+		}
+	}
+	t.Fatal("no balancer has the role")
+	return nil
+}
+
+func (x *conflict) owner() netip.AddrPort {
+	for _, s := range x.d.shards {
+		return s.owner().Data
+	}
+	return netip.AddrPort{}
+}
+
+// opener is an Initial of the caller to a connection id.
+func (x *conflict) opener(tag uint32) Decision {
+	return x.d.Handle(x.now, Ingress{Packet: protocol.Packet{
+		Source: x.caller, Destination: x.service, Transport: protocol.TransportUDP, Kind: protocol.KindOpener,
+		HasTag: true, Tag: tag, SourceTag: callerTag, PayloadBytes: payloadSize,
+	}})
+}
+
+// fromTarget is a packet of a target; without an own connection id it is data.
+func (x *conflict) fromTarget(target protocol.Endpoint, from netip.AddrPort, tag, sourceTag uint32) Decision {
+	kind := protocol.KindData
+	if sourceTag != 0 {
+		kind = protocol.KindHandshake
+	}
+	in := Ingress{From: from, Packet: protocol.Packet{
+		Source: target, Destination: x.caller, Transport: protocol.TransportUDP, Kind: kind,
+		HasTag: true, Tag: tag, SourceTag: sourceTag, PayloadBytes: payloadSize,
+	}}
+	if from.IsValid() {
+		in.Hops = 1
+	}
+	return x.d.Handle(x.now, in)
+}
+
+// Guards against a stateless reset of a target that does not have the
+// connection and takes the flow from the target that has it.
+func TestStatelessResetTakesNoFlow(t *testing.T) {
+	x := newConflict(t, roleOwner)
+	bound := x.opener(firstTag).Endpoint
+	other := x.targets[0]
+	if other == bound {
+		other = x.targets[1]
+	}
+	x.fromTarget(bound, netip.AddrPort{}, callerTag, answerTag)
+	assert.Equal(t, x.fromTarget(other, netip.AddrPort{}, callerTag, rivalTag).Reason, ReasonForeignAnswer)
+	assert.Equal(t, x.fromTarget(other, netip.AddrPort{}, unknownTag, 0).Reason, ReasonWrongGuess)
+	assert.Assert(t, x.fromTarget(bound, netip.AddrPort{}, callerTag, 0).Action != ActionDrop)
+	assert.Assert(t, x.fromTarget(other, netip.AddrPort{}, callerTag, 0).Action != ActionDrop)
+}
+
+// Guards against a handshake that stalls because the caller took the answer of a
+// target that only a balancer with another view knows.
+func TestInitialForUnknownAnswerIsRelayed(t *testing.T) {
+	x := newConflict(t, roleOwner)
+	bound := x.opener(firstTag).Endpoint
+	assert.Equal(t, x.opener(unknownTag).Action, ActionRelay)
+	x.fromTarget(bound, netip.AddrPort{}, callerTag, answerTag)
+	assert.Equal(t, x.opener(unknownTag).Action, ActionRelay)
+	assert.Equal(t, x.opener(firstTag).Endpoint, bound)
+	assert.Equal(t, x.opener(answerTag).Endpoint, bound)
+}
+
+// Guards against a backup that drops answers which the owner has passed.
+func TestBackupFollowsOwner(t *testing.T) {
+	x := newConflict(t, roleBackup)
+	assert.Equal(t, x.fromTarget(x.targets[0], x.owner(), callerTag, answerTag).Action, ActionReturn)
+	assert.Equal(t, x.fromTarget(x.targets[1], x.owner(), callerTag, rivalTag).Action, ActionReturn)
+}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -65,6 +65,8 @@
 	tried []protocol.Endpoint
 	// answered attempts are kept for a while to recognise late answers of tried targets.
 	answered bool
+	// tag is the QUIC connection id that the opener was sent to, 0 when unknown.
+	tag uint32
 	// rival is set when another target answered too.
 	rival rival
 }
--- a/internal/coordination/rival.go
+++ b/internal/coordination/rival.go
@@ -45,6 +45,31 @@
 	return a.rival.target, odd
 }
 
+// tookOther reports whether a QUIC caller took the answer of a target that is
+// unknown here: its Initial is addressed neither to the connection id that it
+// chose first nor to that of the bound target.
+func (d *Dispatcher) tookOther(c *packetContext) bool {
+	e, p := &c.entry, &c.in.Packet
+	if c.service.Protocol != objects.ProtocolQUIC || !p.HasTag || !c.strong() || e.Strength != state.StrengthTentative {
+		return false
+	}
+	a, ok := d.serviceState(c.service.Address).attempts[c.flow]
+	if !ok || a.tag == 0 || a.tag == p.Tag {
+		return false
+	}
+	return !e.Has(state.FlagAnswerTag) || e.AnswerTag != p.Tag
+}
+
+// towardsOther relays an Initial to a balancer that may have forwarded the
+// opener too. The answer of its target then shows which one the caller took.
+func (d *Dispatcher) towardsOther(c *packetContext) Decision {
+	others := d.others(c.shard, c.in.From)
+	if c.in.Hops >= maxHops || len(others) == 0 {
+		return d.forward(c, c.entry.Target, ReasonRepeated)
+	}
+	return relay(others[c.asked()%len(others)], ReasonToHolder)
+}
+
 // rebind moves a flow to the target whose answer the caller took.
 func (d *Dispatcher) rebind(c *packetContext, to rival) {
 	e := &c.entry
