--- a/internal/coordination/conflict.go
+++ b/internal/coordination/conflict.go
@@ -20,6 +20,8 @@
 	case e.Has(state.FlagClosed), e.Has(state.FlagReopened) && c.isAnswer():
 		d.adopt(c) // the bound target holds an earlier connection only
 		return ""
+	case d.isStrayReset(c):
+		return ReasonWrongGuess
 	case e.Strength == state.StrengthTentative:
 		return d.conflictOnTentative(c)
 	case e.Has(state.FlagDoubt) && !c.isAnswer():
@@ -30,6 +32,19 @@
 	return ReasonForeignAnswer
 }
 
+// isStrayReset reports whether a return packet may be a stateless reset. A QUIC
+// target sends one for a packet of a connection that it does not have. It looks
+// like data, but does not begin with the caller's connection id. Nothing can be
+// told when the caller has none and the opener tag is that of its opener.
+func (d *Dispatcher) isStrayReset(c *packetContext) bool {
+	e, p := &c.entry, &c.in.Packet
+	if c.service.Protocol != objects.ProtocolQUIC || c.isAnswer() || !e.Has(state.FlagOpenerTag) {
+		return false
+	}
+	a, ok := d.serviceState(c.service.Address).attempts[c.flow]
+	return ok && a.tag != 0 && a.tag != e.OpenerTag && p.HasTag && p.Tag != e.OpenerTag
+}
+
 // conflictOnTentative adopts the other target when it alone has answered or when it sends data.
 func (d *Dispatcher) conflictOnTentative(c *packetContext) Reason {
 	e, p := &c.entry, &c.in.Packet
