Reset the losing target when the answer of the winner shows it

When two targets got one opener and the answer of the second one decides, the reset for the first was built from that answer. It went out with the address of the winning target as its source, so the losing target ignored it. An answer to the same opener acknowledges the same sequence number, so the reset now takes it and the caller's address from there. TestCancel has the case and fails without the change (sequence number 900 instead of 78).

--- a/internal/protocol/refuse.go
+++ b/internal/protocol/refuse.go
@@ -30,7 +30,8 @@
 
 // BuildCancel returns a TCP RST from the caller of a flow to a target that holds
 // a half-open connection of it. inner and p are a packet of the flow: from the
-// caller, or from that target. The sequence number is the next one that the
+// caller, from that target, or the answer of another target to the same opener,
+// which acknowledges the same sequence number. The sequence number is the next one that the
 // target expects, because it ignores any other. It reports false where no reset
 // can be formed: QUIC resets are authenticated by the target.
 func BuildCancel(inner []byte, p Packet, target Endpoint) ([]byte, bool) {
@@ -41,7 +42,7 @@
 	seq := binary.BigEndian.Uint32(segment[tcpSeqOffset:])
 	caller := p.Source
 	switch {
-	case p.Source == target:
+	case p.Source == target, p.Kind == KindOpenerAnswer:
 		seq = binary.BigEndian.Uint32(segment[tcpAckOffset:])
 		caller = p.Destination
 	case p.Kind == KindOpener:
--- a/internal/protocol/rewrite_test.go
+++ b/internal/protocol/rewrite_test.go
@@ -148,6 +148,7 @@
 	cases := map[string][]byte{
 		"opener": BuildTCP(caller, service, Segment{Seq: 77, SYN: true}),
 		"answer": BuildTCP(target, caller, Segment{Seq: 500, Ack: 78, SYN: true, ACK: true}),
+		"rival":  BuildTCP(Endpoint{IP: [4]byte{10, 7, 7, 7}, Port: 1}, caller, Segment{Seq: 900, Ack: 78, SYN: true, ACK: true}),
 		"data":   BuildTCP(caller, service, Segment{Seq: 78, Ack: 9, ACK: true}),
 	}
 	for name, inner := range cases {
