--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/kumquatworks/kumquatworks/internal/coordination/journal"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
 )
@@ -45,9 +46,13 @@
 
 	// holdUntil is the end of the hold-off after a start or a freeze.
 	holdUntil time.Time
-	// frozen is set after a freeze until a view arrives or the hold-off ends.
+	// frozen is set after a freeze until a view arrives or is confirmed, or the hold-off ends.
 	frozen bool
 	record decisionRecord
+	// passed tells why the last choice of a target passed over the others.
+	passed state.Passed
+	// repairs are the recent changes of ownership.
+	repairs journal.Log
 }
 
 // serviceState is what this balancer knows about a service beside its flows.
@@ -132,6 +137,15 @@
 	d.holdUntil = now.Add(d.options.HoldOff)
 }
 
+// ConfirmView ends the wait for a view after a freeze. A view that did not
+// change during the freeze is not set again, so the wait would otherwise last
+// as long as the hold-off. Refusals stay held off.
+func (d *Dispatcher) ConfirmView() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.frozen = false
+}
+
 // Flows returns the number of flow table entries.
 func (d *Dispatcher) Flows() int {
 	d.mu.Lock()
