Keep a late segment of an earlier connection from taking a new flow

A late data segment of the target of an earlier connection arrived while the new one was about to be established at another target, and the owner took it as proof of an established connection. A TCP segment now must acknowledge the opener of the tentative binding. Otherwise it is passed on without effect.

--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -31,7 +31,7 @@
 	}
 	stale := c.shard.role != roleNone && (!c.strong() || c.entry.Epoch != c.shard.epoch)
 	if c.isOwner() && c.strong() && !c.entry.Has(state.FlagClosed) && c.maybeOther() {
-		if c.service.Protocol == objects.ProtocolTCP {
+		if c.service.Protocol == objects.ProtocolTCP && c.isAnswer() {
 			d.noteRival(c)
 		}
 		return d.giveBack(c)
--- a/internal/coordination/tags.go
+++ b/internal/coordination/tags.go
@@ -24,12 +24,25 @@
 	return c.shard.role == roleBackup && c.in.Hops > 0
 }
 
-// maybeOther reports whether a packet may answer an opener that this owner has
-// not forwarded: a late answer, or one to an opener that another owner admitted.
-// The caller tells them apart; nothing is learned from it.
+// maybeOther reports whether a packet may belong to an opener that this owner has
+// not forwarded: it is late, or another owner admitted that opener. The caller
+// tells them apart; nothing is learned from it.
 func (c *packetContext) maybeOther() bool {
 	unknown := c.isAnswer() && !c.entry.Has(state.FlagOpenerTag) && c.entry.Bound()
-	return c.answersOther() || unknown && c.entry.Target != c.in.Packet.Source
+	foreign := c.entry.Target != c.in.Packet.Source
+	return c.answersOther() || foreign && (unknown || c.acknowledgesOther())
+}
+
+// acknowledgesOther reports whether a TCP segment of a target acknowledges
+// another connection than the one that is about to be established. A late
+// segment of an earlier connection would otherwise take the flow over.
+func (c *packetContext) acknowledgesOther() bool {
+	e, p := &c.entry, &c.in.Packet
+	if c.service.Protocol != objects.ProtocolTCP || p.Kind != protocol.KindData || !p.HasTag {
+		return false
+	}
+	opening := e.Strength == state.StrengthTentative && e.Has(state.FlagOpenerTag)
+	return opening && p.Tag-e.OpenerTag >= tagWindow
 }
 
 // answersOther reports whether a packet answers an opener other than that of the entry.
