Believe data of a TCP target that was given up for an earlier connection

The owner had given up a target for an earlier connection on the flow. For 30 s it dropped the data of a later connection that another owner had admitted there, and reset it. A TCP target that was given up sends no data of that connection, so only its answers are dropped now.

--- a/internal/coordination/conflict.go
+++ b/internal/coordination/conflict.go
@@ -44,8 +44,12 @@
 	return ""
 }
 
-// cancelled reports whether the target was given up for this flow and sent a reset.
+// cancelled reports whether the target was given up for this flow and sent a
+// reset. Data of a TCP target shows a later connection that another owner admitted.
 func (d *Dispatcher) cancelled(c *packetContext) bool {
+	if c.service.Protocol == objects.ProtocolTCP && !c.isAnswer() {
+		return false
+	}
 	a, ok := d.serviceState(c.service.Address).attempts[c.flow]
 	return ok && slices.Contains(a.tried, c.in.Packet.Source)
 }
