Never refuse an opener that was forwarded as a second connection

The entry now keeps the tag of that opener. A copy of it may be admitted, and is dropped when no target has room.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -52,7 +52,9 @@
 	case c.service.Protocol == objects.ProtocolUDP:
 		return d.datagram(c)
 	case e.Has(state.FlagClosed):
-		if same {
+		// An end that came before the answer to a second opener may belong to the
+		// earlier connection, so a copy of that opener is admitted.
+		if same && !e.Has(state.FlagReopened) {
 			return drop(ReasonLateOpener)
 		}
 		return d.admit(c)
@@ -164,8 +166,12 @@
 		d.flows.Put(c.flow, c.entry) // the earlier entry stays if no target has room
 	}
 	earlier := c.entry
+	forwarded := earlier.Bound() && c.sameConnection()
 	c.entry = state.Entry{}
 	target := d.choose(c, nil)
+	if target == nil && forwarded {
+		return drop(ReasonLateOpener) // a target got it, so it must not be refused
+	}
 	if target == nil {
 		return d.refuse(c, ReasonNoTarget)
 	}
--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -199,11 +199,6 @@
 	both := e.Has(state.FlagCallerFin) && e.Has(state.FlagTargetFin)
 	if kind == protocol.KindReset || both {
 		e.Set(state.FlagClosed)
-		// With another opener unanswered, this may be the end of the earlier
-		// connection, so a copy of the opener must be admitted.
-		if e.Has(state.FlagReopened) {
-			e.Clear(state.FlagOpenerTag | state.FlagReopened)
-		}
 	}
 	// A caller that closes its side before any response may still wait for one.
 	if isAbort(kind) || byTarget || e.Has(state.FlagReturned) {
--- a/internal/coordination/tags.go
+++ b/internal/coordination/tags.go
@@ -61,7 +61,7 @@
 // connection. The owner has forwarded its opener, here or in another view.
 func (c *packetContext) answersNext() bool {
 	e := &c.entry
-	return c.answersOther() || c.isAnswer() && e.Has(state.FlagClosed) && !e.Has(state.FlagOpenerTag)
+	return c.answersOther() || c.isAnswer() && e.Has(state.FlagClosed) && (e.Has(state.FlagReopened) || !e.Has(state.FlagOpenerTag))
 }
 
 // answerTag returns the tag that caller packets will echo.
