Find the target of a caller that took an unknown answer sooner

The owner relayed Initials for an unknown answer to the other balancers in turn, and the one that knew the target came too late. Former owners hand over their bindings after a change of the view, but the owner ignored them where it had a tentative binding of its own.

Ruled out: attempts that another admission overwrote (none in the traces of the stalled flow).

Change: a handed-over binding of another target counts as a second answer, so the flow moves when the caller uses its connection id. Initials for an unknown answer go to the table's choice too, which another owner takes most often.

--- a/internal/coordination/conflict_test.go
+++ b/internal/coordination/conflict_test.go
@@ -66,6 +66,13 @@
 	return nil
 }
 
+func (x *conflict) otherThan(target protocol.Endpoint) protocol.Endpoint {
+	if x.targets[0] == target {
+		return x.targets[1]
+	}
+	return x.targets[0]
+}
+
 func (x *conflict) owner() netip.AddrPort {
 	for _, s := range x.d.shards {
 		return s.owner().Data
@@ -102,10 +109,7 @@
 func TestStatelessResetTakesNoFlow(t *testing.T) {
 	x := newConflict(t, roleOwner)
 	bound := x.opener(firstTag).Endpoint
-	other := x.targets[0]
-	if other == bound {
-		other = x.targets[1]
-	}
+	other := x.otherThan(bound)
 	x.fromTarget(bound, netip.AddrPort{}, callerTag, answerTag)
 	assert.Equal(t, x.fromTarget(other, netip.AddrPort{}, callerTag, rivalTag).Reason, ReasonForeignAnswer)
 	assert.Equal(t, x.fromTarget(other, netip.AddrPort{}, unknownTag, 0).Reason, ReasonWrongGuess)
@@ -131,3 +135,16 @@
 	assert.Equal(t, x.fromTarget(x.targets[0], x.owner(), callerTag, answerTag).Action, ActionReturn)
 	assert.Equal(t, x.fromTarget(x.targets[1], x.owner(), callerTag, rivalTag).Action, ActionReturn)
 }
+
+// Guards against a handshake that stalls because the binding of a former owner,
+// whose answer the caller took, is forgotten when it is handed over.
+func TestHandedOverRivalIsTaken(t *testing.T) {
+	x := newConflict(t, roleOwner)
+	bound := x.opener(firstTag).Endpoint
+	other := x.otherThan(bound)
+	flow := protocol.FlowKey{Caller: x.caller, Service: x.service, Transport: protocol.TransportUDP}
+	handed := state.Binding{Flow: flow, Target: other, Strength: state.StrengthTentative, OpenerTag: callerTag, AnswerTag: rivalTag}
+	assert.Equal(t, x.d.AcceptHandoff(x.now, []state.Binding{handed}), 0)
+	assert.Equal(t, x.opener(firstTag).Endpoint, bound)
+	assert.Equal(t, x.opener(rivalTag).Endpoint, other)
+}
--- a/internal/coordination/handoff.go
+++ b/internal/coordination/handoff.go
@@ -160,7 +160,11 @@
 	}
 	c := packetContext{now: now, stamp: state.NewStamp(now), service: s, flow: b.Flow}
 	d.find(&c)
-	if c.known && c.entry.Bound() && (c.strong() || b.Idle > c.stamp.Since(c.entry.Seen)) {
+	if c.known && c.entry.Bound() && c.strong() {
+		d.noteHandedRival(&c, b)
+		return false
+	}
+	if c.known && c.entry.Bound() && b.Idle > c.stamp.Since(c.entry.Seen) {
 		return false
 	}
 	d.uncount(s, c.flow, &c.entry)
--- a/internal/coordination/rival.go
+++ b/internal/coordination/rival.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"slices"
+
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
@@ -60,14 +62,34 @@
 	return !e.Has(state.FlagAnswerTag) || e.AnswerTag != p.Tag
 }
 
-// towardsOther relays an Initial to a balancer that may have forwarded the
-// opener too. The answer of its target then shows which one the caller took.
+// noteHandedRival remembers the target that a former owner has for a tentative flow.
+func (d *Dispatcher) noteHandedRival(c *packetContext, b *state.Binding) {
+	tentative := c.entry.Strength == state.StrengthTentative && c.service.Protocol == objects.ProtocolQUIC
+	if !tentative || b.AnswerTag == 0 || b.Target == c.entry.Target {
+		return
+	}
+	if a := d.attempt(c); a.rival.target.IsZero() {
+		a.rival = rival{target: b.Target, tag: b.AnswerTag}
+	}
+}
+
+// towardsOther sends an Initial in turn to the target that the table names, which another
+// owner may have chosen, and to the balancers that may have forwarded the opener
+// too. The answer of the target then shows which one the caller took.
 func (d *Dispatcher) towardsOther(c *packetContext) Decision {
+	choices := slices.DeleteFunc(d.tableChoices(c.service, c.flow), func(t protocol.Endpoint) bool { return t == c.entry.Target })
 	others := d.others(c.shard, c.in.From)
-	if c.in.Hops >= maxHops || len(others) == 0 {
+	if c.in.Hops >= maxHops {
+		others = nil
+	}
+	if len(choices)+len(others) == 0 {
 		return d.forward(c, c.entry.Target, ReasonRepeated)
 	}
-	return relay(others[c.asked()%len(others)], ReasonToHolder)
+	turn := c.asked() % (len(choices) + len(others))
+	if turn < len(choices) {
+		return d.forward(c, choices[turn], ReasonTableChoice)
+	}
+	return relay(others[turn-len(choices)], ReasonToHolder)
 }
 
 // rebind moves a flow to the target whose answer the caller took.
