--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -45,7 +45,7 @@
 	e := &c.entry
 	switch same := c.sameConnection(); {
 	case e.Has(state.FlagRefused):
-		if c.staysRefused() {
+		if same {
 			return d.refuse(c, ReasonRefused)
 		}
 		return d.admit(c)
@@ -65,7 +65,7 @@
 			return d.repeatOpener(c)
 		}
 		return d.admit(c)
-	case same:
+	case same && !e.Has(state.FlagReopened):
 		d.noteOpener(c)
 		d.save(c)
 		return d.forward(c, e.Target, ReasonRepeated)
@@ -125,6 +125,11 @@
 		d.note(c, ActionDrop, e.Target, ReasonSecondConnection)
 		return drop(ReasonSecondConnection)
 	}
+	if e.Has(state.FlagReopened) && c.sameConnection() {
+		d.noteOpener(c)
+		d.save(c)
+		return d.forward(c, e.Target, ReasonRepeated)
+	}
 	e.OpenerTag = c.openerTag()
 	e.Set(state.FlagOpenerTag | state.FlagReopened)
 	e.Epoch = c.shard.epoch
@@ -156,10 +161,11 @@
 	if d.blocked(c.now) {
 		return drop(ReasonFrozen)
 	}
-	earlier := c.entry
-	if c.known {
+	if c.entry.Has(state.FlagCounted) {
 		d.uncount(c.service, c.flow, &c.entry)
+		d.flows.Put(c.flow, c.entry) // the earlier entry stays if no target has room
 	}
+	earlier := c.entry
 	c.entry = state.Entry{}
 	target := d.choose(c, nil)
 	if target == nil {
@@ -214,5 +220,5 @@
 	if d.options.Variant == VariantBounded {
 		method = state.MethodBounded
 	}
-	return d.counts(c).Choose(c.now, c.service, state.FlowHash(c.flow), method, excluded)
+	return d.counts(c).Choose(c.now, c.service, state.FlowHash(c.flow), method, excluded, &d.passed)
 }
--- a/internal/coordination/conflict.go
+++ b/internal/coordination/conflict.go
@@ -17,8 +17,8 @@
 		return ReasonWrongGuess
 	case d.cancelled(c):
 		return ReasonCancelled
-	case e.Has(state.FlagClosed):
-		d.adopt(c)
+	case e.Has(state.FlagClosed), e.Has(state.FlagReopened) && c.isAnswer():
+		d.adopt(c) // the bound target holds an earlier connection only
 		return ""
 	case d.isStrayReset(c):
 		return ReasonWrongGuess
@@ -45,18 +45,13 @@
 	return ok && a.tag != 0 && a.tag != e.OpenerTag && p.HasTag && p.Tag != e.OpenerTag
 }
 
-// passedByOwner reports whether the owner has judged a return packet and passed it to this backup.
-func (c *packetContext) passedByOwner() bool {
-	owner := c.shard.owner()
-	return c.shard.role == roleBackup && owner != nil && c.in.From == owner.Data
-}
-
-// conflictOnTentative adopts the other target when it alone has answered, when
-// it sends data, or when the owner passed its answer.
+// conflictOnTentative adopts the other target when it alone has answered or when it sends data.
 func (d *Dispatcher) conflictOnTentative(c *packetContext) Reason {
 	e, p := &c.entry, &c.in.Packet
-	if c.isAnswer() && e.Has(state.FlagAnswered) && !c.passedByOwner() {
-		d.noteRival(c)
+	if c.isAnswer() && e.Has(state.FlagAnswered) {
+		if c.service.Protocol == objects.ProtocolQUIC {
+			d.noteRival(c)
+		}
 		return ReasonForeignAnswer
 	}
 	d.note(c, ActionReturn, p.Source, ReasonReturn)
--- a/internal/protocol/decode_test.go
+++ b/internal/protocol/decode_test.go
@@ -39,7 +39,7 @@
 	v1Handshake := quicLong(quicVersion1, 2, 0xd1, 0x51, 30)
 	quic := func(kind Kind, zero bool, payload ...[]byte) (Packet, []byte) {
 		data := join(payload...)
-		return Packet{Transport: TransportUDP, Kind: kind, Tag: 0xd1d1d1d1, HasTag: true, SourceTag: 0x51515151, ZeroRTT: zero, PayloadBytes: len(data)}, BuildUDP(caller, service, data)
+		return Packet{Transport: TransportUDP, Kind: kind, Tag: 0xd1d1d1d1, HasTag: true, SourceTag: 0x51515151, ZeroRTT: zero, ZeroRTTOnly: zero && kind == KindHandshake && len(payload) == 1, PayloadBytes: len(data)}, BuildUDP(caller, service, data)
 	}
 	tcp := func(want Packet, s Segment) (Packet, []byte) {
 		want.Transport = TransportTCP
@@ -59,9 +59,9 @@
 		"syn":                of(tcp(Packet{Kind: KindOpener, Tag: 77, HasTag: true}, Segment{Seq: 77, SYN: true})),
 		"syn with data":      of(tcp(Packet{Kind: KindOpener, Tag: 77, HasTag: true, SynData: true}, Segment{Seq: 77, SYN: true, Payload: []byte("x")})),
 		"syn-ack":            of(tcp(Packet{Kind: KindOpenerAnswer, Tag: 501, HasTag: true, SourceTag: 77}, Segment{Seq: 500, Ack: 78, SYN: true, ACK: true})),
-		"ack":                of(tcp(Packet{Kind: KindData, Tag: 501, HasTag: true}, Segment{Seq: 78, Ack: 501, ACK: true, Payload: []byte("hi")})),
+		"ack":                of(tcp(Packet{Kind: KindData, Tag: 501, HasTag: true, SourceTag: 78}, Segment{Seq: 78, Ack: 501, ACK: true, Payload: []byte("hi")})),
 		"fin":                of(tcp(Packet{Kind: KindFin, Tag: 9, HasTag: true}, Segment{Ack: 9, FIN: true, ACK: true})),
-		"rst without ack":    of(tcp(Packet{Kind: KindReset}, Segment{Seq: 4, RST: true})),
+		"rst without ack":    of(tcp(Packet{Kind: KindReset, SourceTag: 4}, Segment{Seq: 4, RST: true})),
 		"v1 initial":         of(quic(KindOpener, false, v1Initial)),
 		"v1 0-rtt":           of(quic(KindHandshake, true, v1ZeroRTT)),
 		"v1 handshake":       of(quic(KindHandshake, false, v1Handshake)),
@@ -72,6 +72,7 @@
 		"v2 retry":           of(quic(KindHandshake, false, quicLong(quicVersion2, 0, 0xd1, 0x51, 40))),
 		"initial, 0-rtt":     of(quic(KindOpener, true, v1Initial, v1ZeroRTT)),
 		"0-rtt, initial":     of(quic(KindOpener, true, v1ZeroRTT, v1Initial)),
+		"handshake, 0-rtt":   of(quic(KindHandshake, true, v1Handshake, v1ZeroRTT)),
 		"handshake, short":   of(quic(KindHandshake, false, v1Handshake, []byte("\x41abcd"))),
 		"initial, padding":   of(quic(KindOpener, false, v1Initial, make([]byte, 1000))),
 		"initial, handshake": of(quic(KindHandshake, false, v1Initial, v1Handshake)),
--- a/internal/scenario/script_test.go
+++ b/internal/scenario/script_test.go
@@ -59,6 +59,8 @@
 		"answers": answersCommand,
 		"live":    liveCommand,
 		"report":  reportCommand,
+		"spans":   spansCommand,
+		"until":   untilCommand,
 	}
 	maps.Copy(commands, fleetCommands)
 	testscript.RunT(boundedT{t, make(chan struct{}, scriptsAtOnce)}, testscript.Params{
@@ -107,3 +109,9 @@
 		ts.Fatalf("%s: no match for %s in %s", args[0], args[1], text)
 	}
 }
+
+// untilCommand waits until the answer at a URL matches a pattern.
+func untilCommand(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile(args[1])
+	await(ts, args[0]+" matches "+args[1], func() bool { return pattern.MatchString(getText(ts, args[0])) })
+}
