State in the field's meaning what idempotent changes

Cause: docs/configuration.md says that idempotent is needed for udp and without effect on tcp and quic; the table in the code lacked it, so TestConfigurationPageFollowsCode failed on main. Ruled out: changing the page back; it describes the behaviour. After: the test passes.

--- a/internal/objects/fields.go
+++ b/internal/objects/fields.go
@@ -87,7 +87,7 @@
 		{Name: "pool", Type: TypeReference, Required: true, Refers: "pool", Meaning: "pool of targets; a pool serves one service"},
 		{Name: "weight", Type: TypeChoice, Values: []string{string(WeightNormal), string(WeightHigh)}, Default: string(DefaultWeight), Meaning: "priority of the service's traffic"},
 		{Name: "preference", Type: TypeChoice, Values: []string{string(PreferenceAffinity), string(PreferenceEvenness)}, Default: string(DefaultPreference), Meaning: "what the choice of a target favours: few exceptions from the table, or an even spread"},
-		{Name: "idempotent", Type: TypeBoolean, Default: "false", Meaning: "states that running a request twice does no harm"},
+		{Name: "idempotent", Type: TypeBoolean, Default: "false", Meaning: "states that running a request twice does no harm; needed for udp, without effect on tcp and quic"},
 		{Name: "open_timeout_ms", Type: TypeInteger, Min: 100, Max: 60000, Unit: "ms", Default: fmt.Sprint(DefaultOpenTimeoutMS), Meaning: "how long a target may leave an opener unanswered before the next target is tried"},
 	}},
 	{Name: "pool", List: "pools", Max: 2000, Fields: []Field{
