--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -173,7 +173,8 @@
 func (d *Dispatcher) judgeUnbound(c *packetContext) Reason {
 	e := &c.entry
 	if isAbort(c.in.Packet.Kind) {
-		if e.Has(state.FlagAsking) && c.stamp.Since(e.Created) < askTime {
+		// An owner with another view may have admitted a later opener.
+		if e.Has(state.FlagAsking|state.FlagRefused) && c.stamp.Since(e.Created) < askTime {
 			return ReasonWrongGuess
 		}
 		return ""
