Add the experiment bounds, which compares bounds of open flows

The trade between broken flows and imbalance could be shown for the built-in bounds alone. The command experiment bounds prints one table for a seed: for each service, protocol and bound (default, 1.05, 1.10, 1.15, 1.25, 1.5, none) the flows per 10,000 that break when owner and backup die at once, the share of feeds whose target is not the choice of the table, alone and mixed with requests, the highest over the mean of open flows and of busy slots, and the requests that met a full target. The bound is an option of the dispatcher; 0 follows the preference.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -21,12 +21,12 @@
 
 type experimentCommand struct {
 	Seed     uint64 `long:"seed" default:"1" description:"seed of all random choices"`
-	Flows    int    `long:"flows" default:"2000" description:"long flows (broken, imbalance)"`
-	Requests int    `long:"requests" default:"20000" description:"requests for each row (slots)"`
+	Flows    int    `long:"flows" default:"2000" description:"long flows (broken, imbalance, bounds)"`
+	Requests int    `long:"requests" default:"20000" description:"requests for each row (slots, bounds)"`
 	WorkMS   int    `long:"work" default:"200" description:"mean time that a request holds a slot, in milliseconds"`
 	Protocol string `long:"protocol" default:"quic" choice:"quic" choice:"tcp" description:"transport of the flows (broken)"`
 	Args     struct {
-		Measure string `positional-arg-name:"MEASURE" description:"broken, slots or imbalance" required:"yes"`
+		Measure string `positional-arg-name:"MEASURE" description:"broken, slots, imbalance or bounds" required:"yes"`
 	} `positional-args:"yes"`
 
 	streams Streams
@@ -43,11 +43,15 @@
 		return experiment.PrintBroken(c.streams.Out, c.Seed, c.Flows, objects.Protocol(c.Protocol))
 	case "slots":
 		return experiment.PrintSlots(c.streams.Out, c.Seed, c.Requests, work)
+	case "bounds":
+		return experiment.PrintBounds(c.streams.Out, experiment.BoundsOptions{
+			Seed: c.Seed, Flows: c.Flows, Requests: c.Requests, Work: work,
+		})
 	case "imbalance":
 		return experiment.PrintImbalance(c.streams.Out, c.Seed, c.Flows, work)
 	}
 	return &flags.Error{
 		Type:    flags.ErrInvalidChoice,
-		Message: "experiment: measure \"" + c.Args.Measure + "\" is not one of broken, slots, imbalance",
+		Message: "experiment: measure \"" + c.Args.Measure + "\" is not one of broken, slots, imbalance, bounds",
 	}
 }
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -204,9 +204,9 @@
 
 func (d *Dispatcher) choose(c *packetContext, excluded []protocol.Endpoint) *state.Target {
 	d.sweep(c.now, c.service.Address, d.serviceState(c.service.Address))
-	method := state.MethodPreference
+	rule := state.Rule{Method: state.MethodPreference, Bound: d.options.Bound}
 	if d.options.Variant == VariantBounded {
-		method = state.MethodBounded
+		rule.Method = state.MethodBounded
 	}
-	return d.counts(c).Choose(c.now, c.service, state.FlowHash(c.flow), method, excluded)
+	return d.counts(c).Choose(c.now, c.service, state.FlowHash(c.flow), rule, excluded)
 }
--- a/internal/coordination/dispatcher.go
+++ b/internal/coordination/dispatcher.go
@@ -23,6 +23,9 @@
 	Shards int
 	// Variant selects the whole design or a reduced one for experiments.
 	Variant Variant
+	// Bound, unless 0, replaces the bound of open flows per target for experiments;
+	// infinity stands for no bound.
+	Bound float64
 	// Seed seeds the random choices.
 	Seed uint64
 }
--- a/internal/experiment/broken.go
+++ b/internal/experiment/broken.go
@@ -27,6 +27,8 @@
 	BrokenActive int
 	Idle         int
 	BrokenIdle   int
+	// OffChoice are established flows whose target is not the choice of the table.
+	OffChoice int
 	// Unopened are flows that were never established before the first change.
 	Unopened int
 }
@@ -66,6 +68,8 @@
 	"two":       {{0, leaveOne}, {100 * time.Millisecond, drainOne}},
 	"kill-one":  {{0, killFirst}},
 	"kill-busy": {{0, killBusiest}},
+	// kill-deciders is for the bounds table; the kill-two row of the broken table includes it.
+	"kill-deciders": {{0, killDeciders}},
 	"mixed": {
 		{0, drainOne}, {2 * time.Second, leaveOne}, {6 * time.Second, joinOne}, {10 * time.Second, addTwo},
 		{10 * time.Second, weighOne}, {16 * time.Second, killBusiest}, {24 * time.Second, joinOne},
@@ -98,6 +102,14 @@
 	return nil
 }
 
+// killDeciders kills the owner and the backup of most flows at once.
+func killDeciders(n *network) error {
+	owner, backup := n.busiestDecider(), n.busiestBackup()
+	n.kill(owner)
+	n.kill(backup)
+	return nil
+}
+
 func drainOne(n *network) error {
 	return n.publish(func(s *objects.Set) { s.Targets[3].Drain = true })
 }
@@ -163,8 +175,11 @@
 	for _, c := range feeds {
 		established[c] = c.established && !c.broken
 	}
+	offChoice := n.offChoice()
 	n.runUntil(firstChange + last + settle)
-	return n.brokenResult(feeds, established), failure
+	r := n.brokenResult(feeds, established)
+	r.OffChoice = offChoice
+	return r, failure
 }
 
 func (n *network) brokenResult(feeds []*connection, established map[*connection]bool) BrokenResult {
--- a/internal/experiment/imbalance.go
+++ b/internal/experiment/imbalance.go
@@ -32,6 +32,9 @@
 	// opens. The young feeds still look like running requests then.
 	BusyAfterOpening float64
 	Broken           int
+	// Feeds and OffChoice are the open feeds and those whose target is not the choice of the table.
+	Feeds     int
+	OffChoice int
 }
 
 const (
@@ -66,10 +69,10 @@
 	n.after(begin, func() { n.every(sampleInterval, s.sample) })
 	n.runUntil(begin + o.Length)
 	r := ImbalanceResult{Result: n.result, OpenFlows: s.open.mean(), BusySlots: s.busy.mean(), BusyAfterOpening: s.afterOpening}
+	r.OffChoice = n.offChoice()
 	for _, c := range n.callers {
-		if c.broken {
-			r.Broken++
-		}
+		r.Broken += count(c.broken)
+		r.Feeds += count(c.feed && c.established && !c.broken)
 	}
 	return r, nil
 }
--- a/internal/experiment/network.go
+++ b/internal/experiment/network.go
@@ -57,6 +57,8 @@
 	up       bool
 	leaving  bool
 	admitted int
+	// copies counts the packets that owners relayed to it as their backup.
+	copies int
 	// view is the number of the latest view that it has.
 	view int
 }
@@ -84,7 +86,9 @@
 type Options struct {
 	Variant coordination.Variant
 	// Shards, unless 0, sets the number of deciders for each service.
-	Shards    int
+	Shards int
+	// Bound, unless 0, sets the bound of open flows per target.
+	Bound     float64
 	Balancers int
 	Seed      uint64
 }
@@ -140,7 +144,7 @@
 		up:    true,
 	}
 	b.core = coordination.NewDispatcher(coordination.Options{
-		Self: b.vm, Place: b.place, Variant: n.options.Variant, Shards: n.options.Shards,
+		Self: b.vm, Place: b.place, Variant: n.options.Variant, Shards: n.options.Shards, Bound: n.options.Bound,
 		Seed: n.options.Seed + uint64(i),
 	})
 	b.core.AdoptTable(n.now, n.table)
@@ -292,6 +296,9 @@
 		n.after(hopDelay, func() { n.reachCaller(s) })
 	case coordination.ActionRelay:
 		peer := n.byData[d.Peer]
+		if d.Reason == coordination.ReasonToBackup {
+			peer.copies++
+		}
 		n.after(hopDelay, func() { n.arrive(peer, s, hops+1, b.data) })
 	case coordination.ActionRefuse:
 		n.after(hopDelay, func() { s.connection.refused() })
--- a/internal/experiment/slots.go
+++ b/internal/experiment/slots.go
@@ -11,7 +11,9 @@
 type SlotsOptions struct {
 	Options
 	Protocol objects.Protocol
-	Slots    uint32
+	// Preference is evenness unless it is set.
+	Preference objects.Preference
+	Slots      uint32
 	// Busy is the offered load as a share of all slots.
 	Busy     float64
 	Requests int
@@ -38,7 +40,10 @@
 
 // Slots measures how often a request meets a full target while another has a free slot.
 func Slots(o SlotsOptions) (SlotsResult, error) {
-	set := newSet(workload{protocol: o.Protocol, preference: objects.PreferenceEvenness, slots: o.Slots})
+	if o.Preference == "" {
+		o.Preference = objects.PreferenceEvenness
+	}
+	set := newSet(workload{protocol: o.Protocol, preference: o.Preference, slots: o.Slots})
 	n, err := newNetwork(o.Options, set)
 	if err != nil {
 		return SlotsResult{}, err
@@ -99,6 +104,17 @@
 	return most
 }
 
+// busiestBackup returns the live balancer that received most packets as a backup.
+func (n *network) busiestBackup() *balancer {
+	var most *balancer
+	for _, b := range n.balancers {
+		if b.up && (most == nil || b.copies > most.copies) {
+			most = b
+		}
+	}
+	return most
+}
+
 // report gives every balancer the present load of the targets after lag.
 func (n *network) report(lag time.Duration) {
 	var reports []coordination.TargetReport
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -15,7 +15,11 @@
 	coordination.VariantHash, coordination.VariantBounded, coordination.VariantNoLearn, coordination.VariantFull,
 }
 
-const defaultBalancers = 7
+const (
+	defaultBalancers = 7
+	// idleShare is the share of idle feeds in the broken-flows measure.
+	idleShare = 0.25
+)
 
 func newTable(w io.Writer, header string) *tabwriter.Writer {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -33,7 +37,7 @@
 		for _, s := range append(ScheduleNames, worstPair) {
 			o := BrokenOptions{
 				Options:  Options{Variant: v, Balancers: defaultBalancers, Seed: seed},
-				Protocol: protocol, Preference: objects.PreferenceAffinity, Flows: flows, IdleShare: 0.25, Schedule: s,
+				Protocol: protocol, Preference: objects.PreferenceAffinity, Flows: flows, IdleShare: idleShare, Schedule: s,
 			}
 			run := Broken
 			if s == worstPair {
@@ -126,17 +130,21 @@
 // imbalanceWindows is the number of windows in which busy slots are measured, with the first one.
 const imbalanceWindows = 4
 
+func imbalanceOptions(o Options, p objects.Protocol, row imbalanceRow, feeds int, work time.Duration) ImbalanceOptions {
+	return ImbalanceOptions{
+		Options: o, Protocol: p, Preference: row.preference, Slots: row.slots, Busy: 0.4, Feeds: feeds,
+		Work: work, Length: imbalanceWindows * windowServiceTimes * work,
+	}
+}
+
 // PrintImbalance runs the imbalance measure and prints one table.
 func PrintImbalance(w io.Writer, seed uint64, feeds int, work time.Duration) error {
 	t := newTable(w, "variant\tservice\tclose\topen flows, highest over mean\tbusy slots, highest over mean\tbusy slots, first window\tgoal\tbroken")
 	for _, protocol := range []objects.Protocol{objects.ProtocolTCP, objects.ProtocolQUIC} {
 		for _, v := range Variants {
 			for _, row := range imbalanceRows {
-				r, err := Imbalance(ImbalanceOptions{
-					Options:  Options{Variant: v, Balancers: defaultBalancers, Seed: seed},
-					Protocol: protocol, Preference: row.preference, Slots: row.slots, Busy: 0.4, Feeds: feeds,
-					Work: work, Length: imbalanceWindows * windowServiceTimes * work,
-				})
+				o := Options{Variant: v, Balancers: defaultBalancers, Seed: seed}
+				r, err := Imbalance(imbalanceOptions(o, protocol, row, feeds, work))
 				if err != nil {
 					return err
 				}
--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -35,6 +35,24 @@
 	MethodBounded
 )
 
+// Rule is how targets are chosen.
+type Rule struct {
+	Method Method
+	// Bound, unless 0, replaces the bound of open flows that follows from the preference.
+	Bound float64
+}
+
+// bound returns the bound of open flows for a service.
+func (r Rule) bound(s *Service) float64 {
+	switch {
+	case r.Bound > 0:
+		return r.Bound
+	case r.Method == MethodPreference && s.Preference == objects.PreferenceEvenness:
+		return evennessBound
+	}
+	return affinityBound
+}
+
 // candidate is a target that may receive the flow.
 type candidate struct {
 	target *Target
@@ -49,19 +67,16 @@
 func (c *candidate) openLoad() float64 { return float64(c.load.Open+1) / c.weight }
 
 // Choose returns the target for a new flow, or nil when no target may take one.
-func (c *Counts) Choose(now time.Time, s *Service, flow uint64, method Method, excluded []protocol.Endpoint) *Target {
+func (c *Counts) Choose(now time.Time, s *Service, flow uint64, rule Rule, excluded []protocol.Endpoint) *Target {
 	candidates := c.candidates(now, s, excluded)
 	if len(candidates) == 0 {
 		return nil
 	}
 	fair := newShares(candidates, c.meanRun)
-	if method == MethodBounded {
+	bound := rule.bound(s)
+	if rule.Method == MethodBounded {
 		fair.work = 0
-		return highest(fair.within(affinityBound, candidates), flow)
-	}
-	bound := affinityBound
-	if s.Preference == objects.PreferenceEvenness {
-		bound = evennessBound
+		return highest(fair.within(bound, candidates), flow)
 	}
 	candidates = c.available(fair, bound, s.Pool.Slots, candidates)
 	if s.Preference == objects.PreferenceEvenness {
