--- a/internal/state/counts.go
+++ b/internal/state/counts.go
@@ -134,7 +134,8 @@
 	meanRun time.Duration
 	// handshakeBytes is the usual payload that a target sends at the end of the handshake.
 	handshakeBytes float64
-	nextDue        time.Time
+	// queue holds the requests by the time they are due.
+	queue dueQueue
 }
 
 // NewCounts makes empty counts.
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -67,17 +67,22 @@
 	ended time.Time
 	// resumed is the number of bursts after the end.
 	resumed int
+	flow    protocol.FlowKey
+	// queuedFor and place are the time and the place in the queue of due requests.
+	queuedFor time.Time
+	place     int
 }
 
 // StartRun counts a flow as a running request of a target. hidden tells that
 // the end of the flow cannot be seen.
 func (c *Counts) StartRun(now time.Time, flow protocol.FlowKey, target protocol.Endpoint, hidden bool) {
 	c.EndRun(flow)
-	c.runs[flow] = &run{target: target, started: now, hidden: hidden}
+	r := &run{flow: flow, target: target, started: now, hidden: hidden, place: notQueued}
+	c.runs[flow] = r
 	l := c.Load(target)
 	l.Runs++
 	l.waiting++
-	c.schedule(c.due(c.runs[flow]))
+	c.schedule(r)
 }
 
 // EndRun ends the request of a flow, if one runs.
@@ -86,7 +91,7 @@
 	if !ok {
 		return
 	}
-	delete(c.runs, flow)
+	c.forget(r)
 	c.release(r)
 }
 
@@ -138,7 +143,7 @@
 		return
 	}
 	if r.done {
-		c.resume(now, flow, r)
+		c.resume(now, r)
 		return
 	}
 	if r.last.IsZero() {
@@ -160,18 +165,18 @@
 			c.Load(r.target).waiting--
 		}
 		r.responding = true
-		c.schedule(c.due(r))
+		c.schedule(r)
 	}
 }
 
 // resume handles return payload after the end of a request. A flow that goes on sending is a stream.
-func (c *Counts) resume(now time.Time, flow protocol.FlowKey, r *run) {
+func (c *Counts) resume(now time.Time, r *run) {
 	if now.Sub(r.ended) >= burstGap {
 		r.resumed++
 	}
 	r.ended = now
 	if r.resumed >= streamBursts {
-		delete(c.runs, flow)
+		c.forget(r)
 	}
 }
 
@@ -222,29 +227,15 @@
 	return r.started.Add(firstRunLimit)
 }
 
-func (c *Counts) schedule(due time.Time) {
-	if c.nextDue.IsZero() || due.Before(c.nextDue) {
-		c.nextDue = due
-	}
-}
-
 // Sweep ends the requests that are due, and calls closed for the flows whose
 // hidden close is inferred from silence.
 func (c *Counts) Sweep(now time.Time, closed func(protocol.FlowKey)) {
-	if c.nextDue.IsZero() || now.Before(c.nextDue) {
-		return
-	}
-	c.nextDue = time.Time{}
 	var sum, ended time.Duration
-	for flow, r := range c.runs {
+	for r := c.nextDue(now); r != nil; r = c.nextDue(now) {
 		due := c.due(r)
-		if due.After(now) {
-			c.schedule(due)
-			continue
-		}
 		if r.done {
-			delete(c.runs, flow)
-			closed(flow)
+			c.forget(r)
+			closed(r.flow)
 			continue
 		}
 		// A request whose end was not seen counts with its limit. Without it the
@@ -260,10 +251,10 @@
 			c.Load(r.target).addWork(now, end.Sub(r.started))
 			c.release(r)
 			r.ended = due
-			c.schedule(c.due(r))
+			c.schedule(r)
 			continue
 		}
-		c.EndRun(flow)
+		c.EndRun(r.flow)
 	}
 	if ended > 0 {
 		c.learn(sum / ended) // one mean, so that the order of the map has no effect
