--- a/internal/experiment/slots.go
+++ b/internal/experiment/slots.go
@@ -95,20 +95,18 @@
 
 // busiestDecider returns the live balancer that admitted most flows.
 func (n *network) busiestDecider() *balancer {
-	var most *balancer
-	for _, b := range n.balancers {
-		if b.up && (most == nil || b.admitted > most.admitted) {
-			most = b
-		}
-	}
-	return most
+	return n.busiest(func(b *balancer) int { return b.admitted })
 }
 
 // busiestBackup returns the live balancer that received most packets as a backup.
 func (n *network) busiestBackup() *balancer {
+	return n.busiest(func(b *balancer) int { return b.copies })
+}
+
+func (n *network) busiest(count func(*balancer) int) *balancer {
 	var most *balancer
 	for _, b := range n.balancers {
-		if b.up && (most == nil || b.copies > most.copies) {
+		if b.up && (most == nil || count(b) > count(most)) {
 			most = b
 		}
 	}
