Revert the queue of due requests

A request with a hidden close is due after five mean lengths, and the mean can shrink after the request was queued, so the queue kept it too long. A backup that became owner starts with a long mean and held requests that had ended.

--- a/internal/state/counts.go
+++ b/internal/state/counts.go
@@ -134,8 +134,7 @@
 	meanRun time.Duration
 	// handshakeBytes is the usual payload that a target sends at the end of the handshake.
 	handshakeBytes float64
-	// queue holds the requests by the time they are due.
-	queue dueQueue
+	nextDue        time.Time
 }
 
 // NewCounts makes empty counts.
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -67,22 +67,17 @@
 	ended time.Time
 	// resumed is the number of bursts after the end.
 	resumed int
-	flow    protocol.FlowKey
-	// queuedFor and place are the time and the place in the queue of due requests.
-	queuedFor time.Time
-	place     int
 }
 
 // StartRun counts a flow as a running request of a target. hidden tells that
 // the end of the flow cannot be seen.
 func (c *Counts) StartRun(now time.Time, flow protocol.FlowKey, target protocol.Endpoint, hidden bool) {
 	c.EndRun(flow)
-	r := &run{flow: flow, target: target, started: now, hidden: hidden, place: notQueued}
-	c.runs[flow] = r
+	c.runs[flow] = &run{target: target, started: now, hidden: hidden}
 	l := c.Load(target)
 	l.Runs++
 	l.waiting++
-	c.schedule(r)
+	c.schedule(c.due(c.runs[flow]))
 }
 
 // EndRun ends the request of a flow, if one runs.
@@ -91,7 +86,7 @@
 	if !ok {
 		return
 	}
-	c.forget(r)
+	delete(c.runs, flow)
 	c.release(r)
 }
 
@@ -143,7 +138,7 @@
 		return
 	}
 	if r.done {
-		c.resume(now, r)
+		c.resume(now, flow, r)
 		return
 	}
 	if r.last.IsZero() {
@@ -165,18 +160,18 @@
 			c.Load(r.target).waiting--
 		}
 		r.responding = true
-		c.schedule(r)
+		c.schedule(c.due(r))
 	}
 }
 
 // resume handles return payload after the end of a request. A flow that goes on sending is a stream.
-func (c *Counts) resume(now time.Time, r *run) {
+func (c *Counts) resume(now time.Time, flow protocol.FlowKey, r *run) {
 	if now.Sub(r.ended) >= burstGap {
 		r.resumed++
 	}
 	r.ended = now
 	if r.resumed >= streamBursts {
-		c.forget(r)
+		delete(c.runs, flow)
 	}
 }
 
@@ -227,15 +222,29 @@
 	return r.started.Add(firstRunLimit)
 }
 
+func (c *Counts) schedule(due time.Time) {
+	if c.nextDue.IsZero() || due.Before(c.nextDue) {
+		c.nextDue = due
+	}
+}
+
 // Sweep ends the requests that are due, and calls closed for the flows whose
 // hidden close is inferred from silence.
 func (c *Counts) Sweep(now time.Time, closed func(protocol.FlowKey)) {
+	if c.nextDue.IsZero() || now.Before(c.nextDue) {
+		return
+	}
+	c.nextDue = time.Time{}
 	var sum, ended time.Duration
-	for r := c.nextDue(now); r != nil; r = c.nextDue(now) {
+	for flow, r := range c.runs {
 		due := c.due(r)
+		if due.After(now) {
+			c.schedule(due)
+			continue
+		}
 		if r.done {
-			c.forget(r)
-			closed(r.flow)
+			delete(c.runs, flow)
+			closed(flow)
 			continue
 		}
 		// A request whose end was not seen counts with its limit. Without it the
@@ -251,10 +260,10 @@
 			c.Load(r.target).addWork(now, end.Sub(r.started))
 			c.release(r)
 			r.ended = due
-			c.schedule(r)
+			c.schedule(c.due(r))
 			continue
 		}
-		c.EndRun(r.flow)
+		c.EndRun(flow)
 	}
 	if ended > 0 {
 		c.learn(sum / ended) // one mean, so that the order of the map has no effect
