--- a/internal/experiment/capacity_test.go
+++ b/internal/experiment/capacity_test.go
@@ -123,6 +123,8 @@
 	b.ReportMetric(perFlow, "B/flow")
 	b.ReportMetric(perOpener, "ns/open")
 	b.ReportMetric(perPacket, "ns/packet")
+	b.ReportMetric(1e9/perOpener, "openers/s")
+	b.ReportMetric(1e9/perPacket, "packets/s")
 }
 
 // openFlow establishes a flow: opener, answer, confirmation.
@@ -139,6 +141,26 @@
 	d.Handle(now, packetOf(service, i, protocol.KindData, 1001))
 }
 
+// Guards the memory of a balancer that holds hundreds of thousands of flows: a
+// larger entry, or one with pointers, would exceed the limit.
+func TestFlowEntryMemory(t *testing.T) {
+	const (
+		flows = 500_000
+		limit = 160 // bytes of heap for each entry
+	)
+	before := heapBytes()
+	table := state.NewFlowTable(flows)
+	for i := range flows {
+		p := packetOf(protocol.Endpoint{IP: [4]byte{203, 0, 113, 1}, Port: firstHostPort}, i, protocol.KindOpener, 0).Packet
+		key := protocol.FlowKey{Caller: p.Source, Service: p.Destination, Transport: p.Transport}
+		assert.Assert(t, table.Put(key, state.Entry{Target: p.Destination}))
+	}
+	perFlow := float64(heapBytes()-before) / flows
+	t.Logf("%.1f bytes for each entry", perFlow)
+	assert.Equal(t, table.Len(), flows)
+	assert.Assert(t, perFlow <= limit, "%.1f bytes", perFlow)
+}
+
 // BenchmarkSlopeTargets measures a configuration by its number of targets.
 func BenchmarkSlopeTargets(b *testing.B) {
 	for _, targets := range []int{500, 1000, 2000, 5000} {
@@ -194,7 +216,6 @@
 	d.AdoptTable(now, table)
 	d.SetView(now, viewOf(members))
 	touchServices(d, now, table)
-	before := heapBytes()
 	const changes = 10
 	begin := time.Now()
 	for i := range changes {
@@ -204,7 +225,20 @@
 		touchServices(d, now.Add(time.Duration(i)*time.Second), table)
 	}
 	b.ReportMetric(float64(time.Since(begin).Microseconds())/changes, "us/change")
-	b.ReportMetric(float64(int64(heapBytes())-int64(before))/float64(members), "heap-growth-B/member")
+	b.ReportMetric(float64(viewBytes(now, table, members))/float64(members), "heap-B/member")
+}
+
+// viewBytes returns the heap of a view with the ranks of all shards, at a balancer
+// that is not a member: it owns no shard, so no flows or counts are in the figure.
+func viewBytes(now time.Time, table *state.Table, members int) uint64 {
+	d := coordination.NewDispatcher(coordination.Options{Self: "vm-none", Place: "place-0"})
+	d.AdoptTable(now, table)
+	before := heapBytes()
+	d.SetView(now, viewOf(members))
+	touchServices(d, now, table)
+	after := heapBytes()
+	runtime.KeepAlive(d)
+	return after - before
 }
 
 // touchServices sends one opener to each service, so that its owner is computed.
--- a/internal/state/choose.go
+++ b/internal/state/choose.go
@@ -35,6 +35,24 @@
 	MethodBounded
 )
 
+// Rule is how targets are chosen.
+type Rule struct {
+	Method Method
+	// Bound, unless 0, replaces the bound of open flows that follows from the preference.
+	Bound float64
+}
+
+// bound returns the bound of open flows for a service.
+func (r Rule) bound(s *Service) float64 {
+	switch {
+	case r.Bound > 0:
+		return r.Bound
+	case r.Method == MethodPreference && s.Preference == objects.PreferenceEvenness:
+		return evennessBound
+	}
+	return affinityBound
+}
+
 // candidate is a target that may receive the flow.
 type candidate struct {
 	target *Target
@@ -50,22 +68,19 @@
 
 // Choose returns the target for a new flow, or nil when no target may take one.
 // It notes in passed, unless that is nil, why the others were not chosen.
-func (c *Counts) Choose(now time.Time, s *Service, flow uint64, method Method, excluded []protocol.Endpoint, passed *Passed) *Target {
+func (c *Counts) Choose(now time.Time, s *Service, flow uint64, rule Rule, excluded []protocol.Endpoint, passed *Passed) *Target {
 	passed.start(len(s.Targets))
 	candidates := c.candidates(now, s, excluded, passed)
 	if len(candidates) == 0 {
 		return nil
 	}
 	fair := newShares(candidates, c.meanRun)
-	if method == MethodBounded {
+	bound := rule.bound(s)
+	if rule.Method == MethodBounded {
 		fair.work = 0
-		return passed.pick(passed.keep(candidates, fair.within(affinityBound, candidates), passedShare), flow)
-	}
-	bound := affinityBound
-	if s.Preference == objects.PreferenceEvenness {
-		bound = evennessBound
+		return passed.pick(passed.keep(candidates, fair.within(bound, candidates), passedShare), flow)
 	}
-	candidates = c.available(fair, bound, s.Pool.Slots, candidates, passed)
+	candidates = available(fair, bound, s.Pool.Slots, candidates, passed)
 	if s.Preference == objects.PreferenceEvenness {
 		candidates = passed.keep(candidates, lowest(candidates, (*candidate).runLoad), passedRuns)
 		candidates = passed.keep(candidates, lowest(candidates, fair.workLoad), passedWork)
@@ -76,7 +91,7 @@
 // available keeps the targets with a free slot that stay within the bound. When
 // no slot is free, it keeps those within the bound that have one soonest: in a
 // surge of long flows, which look like requests at first, these must be spread too.
-func (c *Counts) available(fair shares, bound float64, slots uint32, all []candidate, passed *Passed) []candidate {
+func available(fair shares, bound float64, slots uint32, all []candidate, passed *Passed) []candidate {
 	free := withFreeSlot(all, slots)
 	if len(free) > 0 {
 		free = passed.keep(all, free, passedSlots)
@@ -86,7 +101,7 @@
 	if slots == 0 {
 		return all
 	}
-	return passed.keep(all, c.soonestFree(all), passedWaiting)
+	return passed.keep(all, soonestFree(all), passedWaiting)
 }
 
 // candidates returns the targets that may take a flow. Targets that look bad
@@ -220,14 +235,8 @@
 
 // soonestFree keeps the targets with the fewest requests that still wait for a
 // response, relative to the weight. A request whose response began is as good as done.
-func (c *Counts) soonestFree(all []candidate) []candidate {
-	waiting := make(map[protocol.Endpoint]int, len(all))
-	for _, r := range c.runs {
-		if !r.responding && !r.done {
-			waiting[r.target]++
-		}
-	}
+func soonestFree(all []candidate) []candidate {
 	return lowest(all, func(one *candidate) float64 {
-		return float64(waiting[one.target.Endpoint]+1) / one.weight
+		return float64(one.load.waiting+1) / one.weight
 	})
 }
--- a/internal/state/passed_test.go
+++ b/internal/state/passed_test.go
@@ -29,11 +29,11 @@
 			l.Open, l.Runs = rapid.IntRange(0, 9).Draw(t, "open"), rapid.IntRange(0, 3).Draw(t, "runs")
 			l.Condition.Unhealthy = rapid.Bool().Draw(t, "unhealthy")
 		}
-		flow, method := rapid.Uint64().Draw(t, "flow"), Method(rapid.IntRange(0, 1).Draw(t, "method"))
+		flow, rule := rapid.Uint64().Draw(t, "flow"), Rule{Method: Method(rapid.IntRange(0, 1).Draw(t, "method"))}
 		tried := []protocol.Endpoint{s.Targets[0].Endpoint}
 		var passed Passed
-		chosen := counts.Choose(now, s, flow, method, tried, &passed)
-		assert.Equal(t, counts.Choose(now, s, flow, method, tried, nil), chosen)
+		chosen := counts.Choose(now, s, flow, rule, tried, &passed)
+		assert.Equal(t, counts.Choose(now, s, flow, rule, tried, nil), chosen)
 		seen := map[protocol.Endpoint]bool{}
 		for _, p := range passed.Listed {
 			assert.Assert(t, !seen[p.Target] && p.Why != "", "%v", p)
