Remember the target of an answer at the balancer that received it

Cause: owner and backup alone knew a flow that is silent after its handshake. Ruled out: the search for the holder, which asks every live balancer but finds no one that knows. Change: the balancer that receives the answer keeps its target as a doubtful binding. Caller packets do not follow it, and return packets of the flow still pass through the owner.

--- a/internal/coordination/returns.go
+++ b/internal/coordination/returns.go
@@ -72,7 +72,7 @@
 	if d.options.Variant == VariantBounded {
 		return false
 	}
-	if !c.known || c.entry.Epoch != c.shard.epoch {
+	if !c.known || c.entry.Has(state.FlagDoubt) || c.entry.Epoch != c.shard.epoch {
 		return true
 	}
 	young := c.stamp.Since(c.entry.Created) < youngTime
@@ -86,7 +86,11 @@
 		d.judge(c)
 		return
 	}
-	if c.isAnswer() || isAbort(c.in.Packet.Kind) {
+	if c.isAnswer() {
+		d.learnHint(c)
+		return
+	}
+	if isAbort(c.in.Packet.Kind) {
 		return
 	}
 	if c.in.Packet.Kind == protocol.KindFin {
@@ -101,13 +105,28 @@
 
 // learnWeak binds the flow to the target that a balancer without part in the shard sees.
 func (d *Dispatcher) learnWeak(c *packetContext) {
-	if d.options.Variant == VariantNoLearn || d.options.Variant == VariantBounded || !d.mayLearn(c) {
+	if !d.learns(c) {
 		return
 	}
 	d.bindWeak(c)
 	d.save(c)
 }
 
+// learnHint remembers the target of an answer that the owner has not judged yet.
+// Caller packets do not follow it; it is used when owner and backup are gone.
+// Without it, nobody else knows a flow that is silent after its handshake.
+func (d *Dispatcher) learnHint(c *packetContext) {
+	if c.known || !d.learns(c) {
+		return
+	}
+	c.entry = state.Entry{Target: c.in.Packet.Source, Flags: state.FlagDoubt, Created: c.stamp, Epoch: c.shard.epoch}
+	d.save(c)
+}
+
+func (d *Dispatcher) learns(c *packetContext) bool {
+	return d.options.Variant != VariantNoLearn && d.options.Variant != VariantBounded && d.mayLearn(c)
+}
+
 func (d *Dispatcher) bindWeak(c *packetContext) {
 	e := &c.entry
 	resumed := e.Has(state.FlagClosed) && c.in.Packet.PayloadBytes > 0
