--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -30,7 +30,7 @@
 }
 
 type demoCommand struct {
-	Users   string `long:"users" default:"coralline" choice:"coralline" choice:"guild" description:"customer whose places and services run"`
+	Users   string `long:"users" default:"coralline" choice:"coralline" choice:"guild" description:"whose places and services run"`
 	Seconds int    `long:"seconds" default:"15" description:"time that traffic flows, 5 to 20 s; steps that take longer extend it"`
 	Logs    string `long:"logs" value-name:"FILE" description:"file that receives the log lines of the balancers; none if empty"`
 
--- a/internal/coordination/rival.go
+++ b/internal/coordination/rival.go
@@ -52,7 +52,8 @@
 }
 
 // towardsRivalTCP rebinds the flow when the acknowledgement number of a packet is
-// closer to the answer of the rival than to that of the bound target. That one becomes the rival, since the packet may be late.
+// closer to the answer of the rival than to that of the bound target. The latter
+// becomes the rival, since the packet may be late.
 func (d *Dispatcher) towardsRivalTCP(c *packetContext, a *attempt) bool {
 	e, p := &c.entry, &c.in.Packet
 	ahead := p.Tag - a.rival.tag
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -46,7 +46,7 @@
 	started time.Time
 	set     objects.Set
 	fleet   *fleet
-	parts   *backends
+	parts   *services
 	outcome Outcome
 	// drainBase receives the flows of the drained target so far once the bound has passed.
 	drainBase chan uint64
@@ -79,7 +79,7 @@
 		return err
 	}
 	carrier := d.fleet.carrier.Addr().String()
-	d.parts, err = startBackends(u, carrier, &d.set)
+	d.parts, err = startServices(u, carrier, &d.set)
 	defer func() {
 		d.outcome.Interrupted = d.parts.stop()
 		if closed := d.parts.close(); err == nil {
@@ -123,7 +123,7 @@
 	end()
 	<-ended
 	d.sayTraffic("traffic ended")
-	for _, s := range d.parts.services {
+	for _, s := range d.parts.list {
 		d.outcome.Services = append(d.outcome.Services, s.check())
 	}
 	return err
@@ -153,7 +153,7 @@
 			return
 		case <-ticker.C:
 		}
-		for _, s := range d.parts.services {
+		for _, s := range d.parts.list {
 			s.sample()
 		}
 	}
@@ -203,7 +203,7 @@
 // sayTraffic prints a progress line with the counts so far.
 func (d *demo) sayTraffic(what string) {
 	text := what
-	for _, s := range d.parts.services {
+	for _, s := range d.parts.list {
 		r := s.report()
 		text += fmt.Sprintf("; %s: %d feeds open, %d whole, %d requests whole, %d broken",
 			s.workload.service.Name, r.FeedsOpen, r.FeedsWhole, r.Whole, r.Broken)
--- a/internal/demo/services.go
+++ b/internal/demo/services.go
@@ -38,9 +38,9 @@
 	ratios []float64
 }
 
-// backends are the targets of all services.
-type backends struct {
-	services    []*service
+// services are all services with their targets and callers.
+type services struct {
+	list        []*service
 	attachments []*fabric.Attachment
 	group       errgroup.Group
 	stopTargets context.CancelFunc
@@ -48,48 +48,48 @@
 	stopWeb     context.CancelFunc
 }
 
-// startBackends starts the targets of a configuration and fills in their health endpoints.
-func startBackends(u users, carrier string, set *objects.Set) (*backends, error) {
-	b := &backends{}
+// startServices starts the targets of a configuration and fills in their health endpoints.
+func startServices(u users, carrier string, set *objects.Set) (*services, error) {
+	all := &services{}
 	serving, stop := context.WithCancel(context.Background())
 	web, stopWeb := context.WithCancel(context.Background())
-	b.stopTargets, b.stopWeb = stop, stopWeb
-	attached, err := b.attachPlaces(carrier, set.Targets)
+	all.stopTargets, all.stopWeb = stop, stopWeb
+	attached, err := all.attachPlaces(carrier, set.Targets)
 	if err != nil {
-		return b, err
+		return all, err
 	}
 	byPool := map[string]*service{}
 	for _, w := range u.workloads {
 		s := &service{workload: w, targets: map[string]*target.Target{}, draining: map[string]bool{}}
-		b.services = append(b.services, s)
+		all.list = append(all.list, s)
 		byPool[w.pool.Name] = s
 	}
 	for i := range set.Targets {
 		object := &set.Targets[i]
 		running, err := target.New(attached[object.Place], byPool[object.Pool].targetOptions(*object))
 		if err != nil {
-			return b, err
+			return all, err
 		}
 		byPool[object.Pool].targets[object.Name] = running
-		b.group.Go(func() error { return running.Run(serving) })
-		address, err := serve(web, &b.webGroup, running.Handler())
+		all.group.Go(func() error { return running.Run(serving) })
+		address, err := serve(web, &all.webGroup, running.Handler())
 		if err != nil {
-			return b, err
+			return all, err
 		}
 		object.Health = address.String()
 	}
-	return b, nil
+	return all, nil
 }
 
 // attachPlaces attaches the addresses of the targets to the fabric, those of one place together.
-func (b *backends) attachPlaces(carrier string, targets []objects.Target) (map[string]*fabric.Attachment, error) {
+func (all *services) attachPlaces(carrier string, targets []objects.Target) (map[string]*fabric.Attachment, error) {
 	addresses := map[string][]netip.Addr{}
 	for _, t := range targets {
 		addresses[t.Place] = append(addresses[t.Place], t.Address)
 	}
 	attached := map[string]*fabric.Attachment{}
 	for place, list := range addresses {
-		a, err := b.attach(carrier, place, list)
+		a, err := all.attach(carrier, place, list)
 		if err != nil {
 			return nil, err
 		}
@@ -98,12 +98,12 @@
 	return attached, nil
 }
 
-func (b *backends) attach(carrier, place string, addresses []netip.Addr) (*fabric.Attachment, error) {
+func (all *services) attach(carrier, place string, addresses []netip.Addr) (*fabric.Attachment, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
 	defer cancel()
 	a, err := fabric.Attach(ctx, carrier, place, addresses)
 	if err == nil {
-		b.attachments = append(b.attachments, a)
+		all.attachments = append(all.attachments, a)
 	}
 	return a, err
 }
@@ -116,11 +116,11 @@
 }
 
 // addCallers adds a caller of every service in every place.
-func (b *backends) addCallers(places []string, carrier string) error {
-	for i, s := range b.services {
+func (all *services) addCallers(places []string, carrier string) error {
+	for i, s := range all.list {
 		for j, place := range places {
 			address := netip.AddrFrom4([4]byte{10, 9, byte(i + 1), byte(j + 1)})
-			a, err := b.attach(carrier, place, []netip.Addr{address})
+			a, err := all.attach(carrier, place, []netip.Addr{address})
 			if err != nil {
 				return err
 			}
@@ -144,9 +144,9 @@
 }
 
 // run runs all sessions until ctx ends and the work in progress is completed.
-func (b *backends) run(ctx context.Context) {
+func (all *services) run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, s := range b.services {
+	for _, s := range all.list {
 		for _, session := range s.sessions {
 			group.Go(func() { session.Run(ctx) })
 		}
@@ -155,8 +155,8 @@
 }
 
 // ready reports whether all feeds were opened.
-func (b *backends) ready() bool {
-	for _, s := range b.services {
+func (all *services) ready() bool {
+	for _, s := range all.list {
 		for _, session := range s.sessions {
 			if !session.Ready() {
 				return false
@@ -167,16 +167,16 @@
 }
 
 // stop stops the targets gracefully. It fails when one interrupts work in progress.
-func (b *backends) stop() error {
-	b.stopTargets()
-	return b.group.Wait()
+func (all *services) stop() error {
+	all.stopTargets()
+	return all.group.Wait()
 }
 
 // close ends the health endpoints and the attachments.
-func (b *backends) close() error {
-	b.stopWeb()
-	err := b.webGroup.Wait()
-	for _, a := range b.attachments {
+func (all *services) close() error {
+	all.stopWeb()
+	err := all.webGroup.Wait()
+	for _, a := range all.attachments {
 		_ = a.Close() // nothing is sent any more
 	}
 	return err
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -9,7 +9,7 @@
 
 // steps changes the fleet while traffic flows.
 func (d *demo) steps(ctx context.Context) error {
-	first := d.parts.services[0]
+	first := d.parts.list[0]
 	begin := time.Now()
 	drain := func(ctx context.Context) error { return d.drain(ctx, first) }
 	for _, step := range []func(context.Context) error{d.change, drain, d.stopOne} {
