Share the event queue of the emulations

Cause: the experiments and two test emulations had each the same queue of events in fake time. Change: package faketime holds it. Ruled out: sharing the whole emulated network, whose targets and callers differ in what they check.

--- a/internal/coordination/agent/cluster_test.go
+++ b/internal/coordination/agent/cluster_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/health"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/membership"
+	"github.com/kumquatworks/kumquatworks/internal/faketime"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/platform"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
@@ -31,8 +31,7 @@
 	t      testing.TB
 	now    time.Time
 	rng    *rand.Rand
-	queue  events
-	serial int
+	queue  faketime.Queue
 	nodes  []*node
 	byAddr map[netip.AddrPort]*node
 	byName map[string]*node
@@ -69,29 +68,6 @@
 
 func (n *node) up() bool { return !n.dead && !n.frozen }
 
-type event struct {
-	at     time.Time
-	serial int
-	run    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].serial < e[j].serial
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 var places = []string{"pl-a", "pl-b", "pl-c"}
 
 func newCluster(t testing.TB, size int, seed uint64) *cluster {
@@ -147,20 +123,11 @@
 func (c *cluster) clock(n *node) time.Time { return c.now.Add(n.offset) }
 
 func (c *cluster) after(d time.Duration, run func()) {
-	c.serial++
-	heap.Push(&c.queue, event{c.now.Add(d), c.serial, run})
+	c.queue.Add(c.now.Add(d), run)
 }
 
 // run advances fake time.
-func (c *cluster) run(d time.Duration) {
-	end := c.now.Add(d)
-	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.run()
-	}
-	c.now = end
-}
+func (c *cluster) run(d time.Duration) { c.queue.Run(&c.now, c.now.Add(d)) }
 
 // tick advances one process every 50 ms until it is replaced.
 func (c *cluster) tick(n *node, process *Agent) {
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -10,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/kumquatworks/kumquatworks/internal/faketime"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/state"
@@ -25,30 +25,6 @@
 	echo uint32
 }
 
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].order < q[j].order
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // fleet is a network in memory: dispatchers with own views and tables, targets
 // and callers. Every packet enters at a random balancer.
 type fleet struct {
@@ -56,8 +32,7 @@
 	rng     *rand.Rand
 	now     time.Time
 	jitter  time.Duration
-	queue   eventQueue
-	order   int
+	queue   faketime.Queue
 	options Options
 
 	faults
@@ -228,8 +203,7 @@
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
-	f.order++
-	heap.Push(&f.queue, event{at: f.now.Add(d), order: f.order, run: run})
+	f.queue.Add(f.now.Add(d), run)
 }
 
 func (f *fleet) latency() time.Duration {
@@ -254,14 +228,7 @@
 	f.runUntil(end)
 }
 
-func (f *fleet) runUntil(end time.Time) {
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		next := heap.Pop(&f.queue).(event)
-		f.now = next.at
-		next.run()
-	}
-	f.now = end
-}
+func (f *fleet) runUntil(end time.Time) { f.queue.Run(&f.now, end) }
 
 // send gives a packet from a place to the fabric, which sends it to a random balancer that the place reaches.
 func (f *fleet) send(place string, m message) {
--- a/internal/experiment/clock.go
+++ b/internal/experiment/clock.go
@@ -4,44 +4,18 @@
 package experiment
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
-)
-
-// event is a function to run at a time; sequence keeps the order of events of one time.
-type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
 
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].sequence < q[j].sequence
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return e
-}
+	"github.com/kumquatworks/kumquatworks/internal/faketime"
+)
 
 // clock is the fake time of one run, with its events and its random numbers.
 type clock struct {
-	now      time.Time
-	start    time.Time
-	queue    eventQueue
-	sequence uint64
-	random   *rand.Rand
+	now    time.Time
+	start  time.Time
+	queue  faketime.Queue
+	random *rand.Rand
 }
 
 func newClock(seed uint64) *clock {
@@ -51,8 +25,7 @@
 
 // after runs f when d has passed.
 func (c *clock) after(d time.Duration, f func()) {
-	c.sequence++
-	heap.Push(&c.queue, event{at: c.now.Add(d), sequence: c.sequence, run: f})
+	c.queue.Add(c.now.Add(d), f)
 }
 
 // every runs f each interval until the run ends.
@@ -64,15 +37,7 @@
 }
 
 // runUntil processes events up to the given time since the start.
-func (c *clock) runUntil(d time.Duration) {
-	end := c.start.Add(d)
-	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.run()
-	}
-	c.now = end
-}
+func (c *clock) runUntil(d time.Duration) { c.queue.Run(&c.now, c.start.Add(d)) }
 
 // within returns a random duration in [low, high).
 func (c *clock) within(low, high time.Duration) time.Duration {
--- /dev/null
+++ b/internal/faketime/queue.go
@@ -0,0 +1,56 @@
+// Package faketime orders the events of emulations that run in fake time.
+package faketime
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Queue holds functions by the time at which they run. Functions of one time
+// run in the order in which they were added. The zero value is an empty queue.
+type Queue struct {
+	events events
+	added  uint64
+}
+
+type event struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+// Add adds a function to run at a time.
+func (q *Queue) Add(at time.Time, run func()) {
+	q.added++
+	heap.Push(&q.events, event{at: at, sequence: q.added, run: run})
+}
+
+// Run runs the functions up to a time, those that are added meanwhile included,
+// and sets now to the time of each, and to end at last.
+func (q *Queue) Run(now *time.Time, end time.Time) {
+	for len(q.events) > 0 && !q.events[0].at.After(end) {
+		e := heap.Pop(&q.events).(event)
+		*now = e.at
+		e.run()
+	}
+	*now = end
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].sequence < e[j].sequence
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
