Start the planes of operator scripts after the VM list is complete

The planes started one by one, each before the next VM was listed; the script removed m3 before m1 and m2 read the list again, 5 s later, and a VM that was never seen listed is not taken for removed. Ruled out: the rule itself, which protects VMs that join before a lagging list has them. Change: all VMs are listed before the first plane reads the list. The checks are the same.

--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -111,6 +111,7 @@
 	env.Defer(server.Close)
 	env.Setenv("PLATFORM", f.url)
 	var seeds []netip.AddrPort
+	var planes []*control.Plane
 	for i, vm := range []string{"m1", "m2", "m3"} {
 		plane, err := control.New(control.Options{
 			VM: vm, Place: fmt.Sprintf("pl-%c", 'a'+i), Seeds: seeds, FleetKey: testKey, Seed: uint64(i),
@@ -132,7 +133,12 @@
 		f.vms = append(f.vms, platform.VM{Name: vm, Place: fmt.Sprintf("pl-%c", 'a'+i), Control: plane.Address()})
 		f.server.Load().PutVM(f.vms[i])
 		env.Setenv(strings.ToUpper(vm), plane.Address().String())
-		f.run(env, vm, plane)
+		planes = append(planes, plane)
+	}
+	// The first list that a plane reads names all VMs. One that it never saw
+	// listed, as when a script removes it at once, would not count as removed.
+	for i, plane := range planes {
+		f.run(env, f.vms[i].Name, plane)
 	}
 	key := env.WorkDir + "/fleet.key"
 	env.Setenv("KUMQUATWORKS_FLEET_KEY_FILE", key)
