Use one hash finalizer, and compare views by sets

Cause: health had its own copy of the finalizer in state.Mix, and the notes on a changed view searched one list for each member of the other, 640,000 comparisons each way at 800 balancers. Change: health calls state.Mix with 0 as the second hash, which gives the same values; the names of each view are put in a set once.

--- a/internal/coordination/agent/events.go
+++ b/internal/coordination/agent/events.go
@@ -15,17 +15,15 @@
 
 // noteView notes the balancers that a view adds or lacks.
 func (a *Agent) noteView(now time.Time, view coordination.View) {
-	has := func(v coordination.View, vm string) bool {
-		return slices.ContainsFunc(v.Members, func(m coordination.Member) bool { return m.VM == vm })
-	}
+	before, after := vmNames(a.view), vmNames(view)
 	for _, m := range view.Members {
-		if !has(a.view, m.VM) {
+		if !before[m.VM] {
 			a.events.Add(now, "%s of place %s came in", m.VM, m.Place)
 		}
 	}
 	var states map[string]wire.MemberState
 	for _, m := range a.view.Members {
-		if has(view, m.VM) {
+		if after[m.VM] {
 			continue
 		}
 		if states == nil {
@@ -36,6 +34,14 @@
 	a.view = view
 }
 
+func vmNames(view coordination.View) map[string]bool {
+	names := make(map[string]bool, len(view.Members))
+	for _, m := range view.Members {
+		names[m.VM] = true
+	}
+	return names
+}
+
 func (a *Agent) memberStates() map[string]wire.MemberState {
 	states := map[string]wire.MemberState{}
 	for _, m := range a.members.Members() {
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination/gossip"
 	"github.com/kumquatworks/kumquatworks/internal/objects"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
 // Config holds the parameters.
@@ -231,7 +232,7 @@
 	var probers []string
 	var weights []uint64
 	for _, c := range eligible {
-		weight := mix(own ^ c.hash)
+		weight := state.Mix(own^c.hash, 0)
 		i, _ := slices.BinarySearchFunc(weights, weight, func(a, b uint64) int { return cmp.Compare(b, a) })
 		if i >= m.cfg.ProbersPerTarget {
 			continue
@@ -244,13 +245,6 @@
 	return probers
 }
 
-// mix is the finalizer of SplitMix64, which spreads the xor of two hashes.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Changed reports whether Reports changed since the last call.
 func (m *Machine) Changed() bool {
 	changed := m.changed
--- a/internal/coordination/health/reports.go
+++ b/internal/coordination/health/reports.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/gossip"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/state"
 )
 
 // updateBudget bounds the reports in one probe, in bytes.
@@ -136,13 +137,13 @@
 // than they spread; with them nearly every bucket of 625 targets differed, and
 // each exchange carried the whole view.
 func hashReport(u *wire.TargetHealth) uint64 {
-	state := uint64(0)
+	flags := uint64(0)
 	for i, set := range []bool{u.Healthy, u.Draining, u.Shedding} {
 		if set {
-			state |= 1 << i
+			flags |= 1 << i
 		}
 	}
-	return mix(xxhash.Sum64String(u.Target+"/"+u.Prober) + state)
+	return state.Mix(xxhash.Sum64String(u.Target+"/"+u.Prober)+flags, 0)
 }
 
 // Differing returns the reports of the buckets whose hash differs from the one
