Run on the users' platform: adapter, and routing by a token in the packet

Adds the package dsr (direct server return), which routes flows by a token that both ends repeat, the shell that runs it, and the adapter in platform/.

--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io/fs"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -12,6 +13,7 @@
 
 	"github.com/kumquatworks/kumquatworks/internal/settings"
 	"github.com/kumquatworks/kumquatworks/internal/transport"
+	"github.com/kumquatworks/kumquatworks/platform"
 )
 
 func init() {
@@ -26,14 +28,19 @@
 }
 
 type balancerCommand struct {
-	Config string `long:"config" value-name:"FILE" required:"yes" description:"settings file (JSON); timers are in milliseconds"`
-	Check  bool   `long:"check" description:"check the settings file and exit"`
+	Config      string `long:"config" value-name:"FILE" description:"settings file (JSON); timers are in milliseconds"`
+	Check       bool   `long:"check" description:"check the settings file and exit"`
+	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" description:"on the users' platform: port for counters and latencies under /debug/vars"`
+	LogLevel    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"on the users' platform: lowest level of log lines"`
 
 	streams Streams
 }
 
 // Execute runs the balancer, or checks its settings.
 func (c *balancerCommand) Execute([]string) error {
+	if c.Config == "" {
+		return c.onPlatform()
+	}
 	s, err := settings.Read(c.Config)
 	if unreadable := (*fs.PathError)(nil); errors.As(err, &unreadable) {
 		return usageError("--config: %v", unreadable)
@@ -45,8 +52,33 @@
 		_, err := fmt.Fprintf(c.streams.Out, "settings %s are valid: vm %s, place %s\n", c.Config, s.VM, s.Place)
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilStopped()
 	defer stop()
-	context.AfterFunc(ctx, stop) // a second signal ends the process
 	return transport.RunProcess(ctx, s, c.streams.Err)
 }
+
+// onPlatform runs or checks a balancer with the settings of the users' platform.
+func (c *balancerCommand) onPlatform() error {
+	path := os.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return usageError("--config is required unless %s names the settings of the platform", platform.SettingsVariable)
+	}
+	if c.Check {
+		s, err := platform.ReadSettings(path)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(c.streams.Out, "settings %s are valid: vm %s, place %s\n", path, s.VM, s.Place)
+		return err
+	}
+	ctx, stop := untilStopped()
+	defer stop()
+	return platform.Run(ctx, path, platform.Options{MetricsPort: c.MetricsPort, LogLevel: c.LogLevel}, c.streams.Out)
+}
+
+// untilStopped returns a context that ends with the first signal. A second signal ends the process.
+func untilStopped() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
--- /dev/null
+++ b/internal/coordination/dsr/dsr.go
@@ -0,0 +1,301 @@
+// Package dsr decides about packets where targets answer callers directly
+// (direct server return), so that a balancer sees only the callers' side of a
+// flow. The binding of a flow travels in the packets: the balancer that takes the
+// opener writes a token that names the target, both ends repeat it, and any
+// balancer can route the packets that follow by the token alone.
+//
+// The package is pure code: time, packets, routes and targets are passed in.
+package dsr
+
+import (
+	"sync"
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+// Options are the fixed parameters of a dispatcher.
+type Options struct {
+	// Place is the failure domain of this balancer.
+	Place string
+	// FlowLife is the longest life of a flow.
+	FlowLife time.Duration
+	// FlowCapacity bounds the flow table.
+	FlowCapacity int
+}
+
+// defaultFlowCapacity holds six times the flows of one balancer at the size of two years.
+const defaultFlowCapacity = 1 << 16
+
+// Dispatcher decides about packets. Its methods may be called concurrently.
+type Dispatcher struct {
+	mu      sync.Mutex
+	options Options
+	routes  *routeTable
+	targets *registry
+	flows   map[protocol.FlowKey]*flow
+	events  []Event
+	// aliveAt is the last sign of life of any target.
+	aliveAt time.Time
+	// evidenceFrom is the time before which packets prove nothing, because the process did not run.
+	evidenceFrom time.Time
+}
+
+// NewDispatcher makes a dispatcher without routes and targets.
+func NewDispatcher(o Options) *Dispatcher {
+	if o.FlowCapacity == 0 {
+		o.FlowCapacity = defaultFlowCapacity
+	}
+	return &Dispatcher{
+		options: o,
+		routes:  newRouteTable(),
+		targets: newRegistry(o.FlowLife),
+		flows:   make(map[protocol.FlowKey]*flow),
+	}
+}
+
+// Ready reports whether routes and targets are known.
+func (d *Dispatcher) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready()
+}
+
+func (d *Dispatcher) ready() bool { return d.routes.version > 0 && d.targets.listed }
+
+// SetRoutes puts a version of the configuration in force, unless it is not newer than the present one.
+func (d *Dispatcher) SetRoutes(set RouteSet) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	adopted := d.routes.adopt(set)
+	kind := EventRoutesAdopted
+	if !adopted {
+		kind = EventRoutesIgnored
+	}
+	d.events = append(d.events, Event{Kind: kind, Revision: set.Version})
+	return adopted
+}
+
+// Observe takes a complete reading of the announcements.
+func (d *Dispatcher) Observe(now time.Time, l Listing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.events = append(d.events, d.targets.observe(now, l)...)
+}
+
+// StoreLost tells that the store does not answer.
+func (d *Dispatcher) StoreLost() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets.storeLost()
+}
+
+// StoreBack tells that the store answers.
+func (d *Dispatcher) StoreBack(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets.storeBack(now)
+}
+
+// Freeze tells that the process did not run until now. Silence before proves nothing.
+func (d *Dispatcher) Freeze(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.evidenceFrom = now
+	d.events = append(d.events, Event{Kind: EventFreeze})
+}
+
+// TakeEvents returns the changes since the last call.
+func (d *Dispatcher) TakeEvents() []Event {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	events := d.events
+	d.events = nil
+	return events
+}
+
+// Version is the version of the routes in force, 0 before the first.
+func (d *Dispatcher) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.routes.version
+}
+
+// Gauges are the sizes of the dispatcher's state.
+type Gauges struct {
+	Flows, Targets, Suspected int
+	RoutesVersion, Revision   uint64
+}
+
+// Gauges returns the sizes of the state.
+func (d *Dispatcher) Gauges() Gauges {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, Revision: d.targets.revision}
+	for _, targets := range d.targets.services {
+		for _, t := range targets {
+			g.Targets++
+			if t.health.suspected() {
+				g.Suspected++
+			}
+		}
+	}
+	return g
+}
+
+// Handle decides about one packet.
+func (d *Dispatcher) Handle(now time.Time, p Packet) Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready() {
+		return Decision{Reason: ReasonNotReady}
+	}
+	if p.Opener {
+		return d.opener(now, p)
+	}
+	return d.established(now, p)
+}
+
+// opener decides about the first packet of a flow or a copy of it.
+func (d *Dispatcher) opener(now time.Time, p Packet) Decision {
+	if p.Bytes > 0 {
+		return Decision{Reason: ReasonOpenerBytes}
+	}
+	route := d.routes.current[p.Flow.Service]
+	if route == nil {
+		return Decision{Action: ActionReset, Reason: ReasonNoRoute}
+	}
+	f := d.flows[p.Flow]
+	if f != nil && f.openerSeq == p.Seq && f.confirmed {
+		return Decision{Action: ActionForward, Reason: ReasonRepeated, Target: f.target, Route: route}
+	}
+	if f != nil && f.openerSeq == p.Seq {
+		return d.repeated(now, p, route, f)
+	}
+	if f != nil {
+		d.remove(p.Flow, f) // the caller uses its port again
+	}
+	t := d.choose(now, route, state.FlowHash(p.Flow), nil)
+	if t == nil && p.Copy > 0 {
+		// Another balancer may have forwarded the first copy, so a reset might not be true.
+		return Decision{Reason: ReasonNoOtherTarget, Route: route}
+	}
+	if t == nil {
+		d.add(now, p.Flow, &flow{route: route, openerSeq: p.Seq, refused: true})
+		return Decision{Action: ActionReset, Reason: ReasonNoTarget, Route: route}
+	}
+	d.open(now, p, route, t)
+	return Decision{Action: ActionForward, Reason: ReasonAdmitted, Target: t, Route: route}
+}
+
+// repeated decides about a copy of an opener that this balancer has seen before.
+func (d *Dispatcher) repeated(now time.Time, p Packet, route *Route, f *flow) Decision {
+	if f.refused {
+		return Decision{Action: ActionReset, Reason: ReasonNoTarget, Route: route}
+	}
+	d.unanswered(now, f, f.target, f.openedAt)
+	silence := f.target.health.silence(now)
+	if f.target.usable() && !f.target.health.suspected() {
+		return Decision{Action: ActionForward, Reason: ReasonRepeated, Target: f.target, Route: route, Silence: silence}
+	}
+	f.tried = append(f.tried, f.target)
+	t := d.choose(now, route, state.FlowHash(p.Flow), f.tried)
+	if t == nil && !f.target.usable() {
+		return Decision{Reason: ReasonNoOtherTarget, Route: route}
+	}
+	if t == nil {
+		return Decision{Action: ActionForward, Reason: ReasonRepeated, Target: f.target, Route: route, Silence: silence}
+	}
+	f.move(t)
+	return Decision{Action: ActionForward, Reason: ReasonRetried, Target: t, Route: route, Silence: silence}
+}
+
+// established decides about a packet of a flow whose opener was answered.
+func (d *Dispatcher) established(now time.Time, p Packet) Decision {
+	route := d.routes.current[p.Flow.Service]
+	if route == nil {
+		if !d.routes.removed(p.Flow.Service) {
+			return Decision{Reason: ReasonUnknownRoute}
+		}
+		d.removeKey(p.Flow)
+		return Decision{Action: ActionReset, Reason: ReasonRouteRemoved}
+	}
+	t := d.targets.byToken[p.Token]
+	f := d.flows[p.Flow]
+	if t == nil && f != nil && !f.refused {
+		t = f.target // the caller has not received a packet of the target with its token
+	}
+	if t == nil {
+		return Decision{Reason: ReasonUnknownToken, Route: route}
+	}
+	if !d.routes.allows(p.Flow.Service, t.Service) {
+		return Decision{Reason: ReasonForeignToken, Route: route}
+	}
+	return d.follow(now, p, route, t, f)
+}
+
+// follow notes what a packet tells about its target, and resets the flow when the target is dead.
+func (d *Dispatcher) follow(now time.Time, p Packet, route *Route, t *Target, f *flow) Decision {
+	if f == nil || f.refused {
+		f = d.join(now, p, route, t)
+	}
+	f.move(t)
+	f.lastSeen = now
+	if p.Abort {
+		d.remove(p.Flow, f)
+		return Decision{Action: ActionForward, Reason: ReasonKnownFlow, Target: t, Route: route}
+	}
+	repeated := f.note(now, p)
+	if f.progressed {
+		d.alive(now, t)
+	}
+	if repeated {
+		d.unanswered(now, f, t, f.sentAt)
+	}
+	if reason, reset := d.dead(now, t, f, p); reset {
+		silence := t.health.silence(now)
+		d.remove(p.Flow, f)
+		return Decision{Action: ActionReset, Reason: reason, Target: t, Route: route, Silence: silence}
+	}
+	if p.Fin {
+		f.finish()
+		f.closed = true
+	}
+	return Decision{Action: ActionForward, Reason: ReasonToken, Target: t, Route: route}
+}
+
+// alive notes a sign of life of a target.
+func (d *Dispatcher) alive(now time.Time, t *Target) {
+	d.aliveAt = now
+	if t.health.alive(now) {
+		d.events = append(d.events, Event{Kind: EventTargetAlive, Target: t})
+	}
+}
+
+// unanswered notes that a packet sent at a time was not answered. It says nothing
+// about the target when no other target showed life since: then the balancer's own
+// link may be down, or the process did not run.
+func (d *Dispatcher) unanswered(now time.Time, f *flow, t *Target, sent time.Time) {
+	if sent.Before(d.evidenceFrom) || d.aliveAt.Before(sent) {
+		return
+	}
+	if t.health.strike(now, sent) {
+		d.events = append(d.events, Event{Kind: EventTargetSuspected, Target: t, Silence: t.health.silence(now)})
+	}
+}
+
+// dead reports whether the target of an open flow can no longer answer, so that
+// the caller gains by opening another flow at once.
+func (d *Dispatcher) dead(now time.Time, t *Target, f *flow, p Packet) (Reason, bool) {
+	if p.Bytes == 0 || p.Fin {
+		return "", false
+	}
+	if t.health.dark(now) && now.Sub(d.aliveAt) < resetSilence {
+		return ReasonTargetSilent, true
+	}
+	if !t.gone.IsZero() && t.health.suspected() {
+		return ReasonTargetGone, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/coordination/dsr/flows.go
@@ -0,0 +1,198 @@
+package dsr
+
+import (
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+const (
+	// closedTime is how long a closed flow is kept to recognise late copies of its packets.
+	closedTime = 5 * time.Second
+	// defaultIdle is used until a configuration gives the idle timeout.
+	defaultIdle = 15 * time.Second
+	// defaultTimeout bounds a request of a route that states no timeout.
+	defaultTimeout = 5 * time.Second
+	// windowBytes is what an end may have in flight: 16 packets of 1,200 bytes. A
+	// caller that sends beyond has received acknowledgements.
+	windowBytes = 16 * 1200
+	// activityWeight is the weight of one tick in the moving average of a route's activity.
+	activityWeight = 0.05
+)
+
+// flow is what this balancer has seen of a flow.
+type flow struct {
+	route  *Route
+	target *Target
+	// tried are the targets that left the opener unanswered.
+	tried     []*Target
+	openerSeq uint32
+	openedAt  time.Time
+	lastSeen  time.Time
+	refused   bool
+	confirmed bool
+	closed    bool
+
+	// sent is the sequence number after the last byte that the caller sent,
+	// sentAt the time of the latest new bytes.
+	sent   uint32
+	sentAt time.Time
+	// requestFrom is the sequence number at which the request in progress began.
+	requestFrom uint32
+	acked       uint32
+	running     bool
+	runningFrom time.Time
+	// progressed is set by note when the packet proves that the target answered.
+	progressed bool
+}
+
+// open adds a flow for an opener that is forwarded.
+func (d *Dispatcher) open(now time.Time, p Packet, route *Route, t *Target) {
+	f := &flow{route: route, openerSeq: p.Seq, sent: p.Seq + 1, sentAt: now}
+	d.add(now, p.Flow, f)
+	f.move(t)
+	f.start(now, p.Seq+1)
+}
+
+// join adds a flow that another balancer opened.
+func (d *Dispatcher) join(now time.Time, p Packet, route *Route, t *Target) *flow {
+	f := &flow{route: route, confirmed: true, sent: p.Seq, sentAt: now, acked: p.Ack}
+	d.add(now, p.Flow, f)
+	f.move(t)
+	return f
+}
+
+// add puts a flow into the table. When the table is full, the flow is routed by
+// its token but not followed.
+func (d *Dispatcher) add(now time.Time, key protocol.FlowKey, f *flow) {
+	f.openedAt, f.lastSeen = now, now
+	if old := d.flows[key]; old != nil {
+		d.remove(key, old)
+	}
+	if len(d.flows) < d.options.FlowCapacity {
+		d.flows[key] = f
+	}
+}
+
+func (d *Dispatcher) removeKey(key protocol.FlowKey) {
+	if f := d.flows[key]; f != nil {
+		d.remove(key, f)
+	}
+}
+
+// remove takes a flow from the table and from the counts.
+func (d *Dispatcher) remove(key protocol.FlowKey, f *flow) {
+	f.finish()
+	f.move(nil)
+	if d.flows[key] == f {
+		delete(d.flows, key)
+	}
+}
+
+// move counts the flow at another target.
+func (f *flow) move(t *Target) {
+	if f.target == t {
+		return
+	}
+	if f.target != nil {
+		f.target.open--
+		f.route.use.open--
+		if f.running {
+			f.target.running--
+		}
+	}
+	if t != nil {
+		t.open++
+		f.route.use.open++
+		if f.running {
+			t.running++
+		}
+	}
+	f.target = t
+}
+
+// start counts a request in progress.
+func (f *flow) start(now time.Time, from uint32) {
+	f.requestFrom = from
+	f.runningFrom = now
+	if f.running || f.target == nil {
+		return
+	}
+	f.running = true
+	f.target.running++
+	f.route.use.running++
+}
+
+// finish ends the request in progress.
+func (f *flow) finish() {
+	if !f.running {
+		return
+	}
+	f.running = false
+	f.route.use.running--
+	if f.target != nil {
+		f.target.running--
+	}
+}
+
+// note takes the sequence numbers of a packet. It reports whether the packet
+// repeats bytes that the caller sent before.
+func (f *flow) note(now time.Time, p Packet) (repeated bool) {
+	f.progressed = false
+	switch {
+	case !f.confirmed:
+		f.confirmed, f.progressed = true, true
+		f.acked = p.Ack
+	case after(p.Ack, f.acked):
+		f.acked, f.progressed = p.Ack, true
+		f.finish()
+	}
+	end := p.end()
+	if !after(end, f.sent) {
+		return p.Bytes > 0 && !f.progressed
+	}
+	if !f.running && p.Bytes > 0 {
+		f.start(now, p.Seq)
+	}
+	if after(end, f.requestFrom+windowBytes) && f.running {
+		f.progressed = true
+		f.requestFrom = end - windowBytes
+	}
+	f.sent, f.sentAt = end, now
+	return false
+}
+
+// Tick expires flows and updates the moving averages.
+func (d *Dispatcher) Tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	idle := d.routes.idle
+	if idle == 0 {
+		idle = defaultIdle
+	}
+	for _, t := range d.targets.byID {
+		t.idleLoad = 0
+	}
+	for key, f := range d.flows {
+		limit := f.route.Timeout
+		if limit == 0 {
+			limit = defaultTimeout
+		}
+		if f.running && now.Sub(f.runningFrom) > limit {
+			f.finish()
+		}
+		quiet := now.Sub(f.lastSeen)
+		if quiet > idle || (f.closed || f.refused) && quiet > closedTime || now.Sub(f.openedAt) > d.options.FlowLife+idle {
+			d.remove(key, f)
+			continue
+		}
+		if !f.running && !f.closed && f.target != nil {
+			f.target.idleLoad += f.route.use.activity
+		}
+	}
+	for _, r := range d.routes.current {
+		if r.use.open > 0 {
+			r.use.activity += activityWeight * (float64(r.use.running)/float64(r.use.open) - r.use.activity)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/dsr/health.go
@@ -0,0 +1,96 @@
+package dsr
+
+import "time"
+
+// The packets of callers tell whether a target lives: an acknowledgement of new
+// bytes proves it, and a packet that the caller sends again while nothing new
+// was acknowledged on any flow of the target speaks against it.
+
+const (
+	// strikesToReset is the number of unanswered packets in a row after which open
+	// flows of a target are reset. A single one may be a lost packet.
+	strikesToReset = 2
+	// resetSilence is the shortest silence of a target before its flows are reset.
+	// Callers send again after 200 ms; the rest allows for late timers.
+	resetSilence = 180 * time.Millisecond
+	// trialBeats is the number of heartbeats after a suspicion that show that the
+	// target lives. The first one may have been written before, and read late.
+	trialBeats = 2
+	// trialPause is how long a suspected target without heartbeats gets no flow.
+	trialPause = 4 * time.Second
+	// trialGap is the pause between two trial flows of a suspected target.
+	trialGap = time.Second
+)
+
+// Silence tells how long a target has shown no sign of life and how many packets went unanswered.
+type Silence struct {
+	For     time.Duration
+	Strikes int
+}
+
+// health is the evidence about one target.
+type health struct {
+	// aliveAt is the last sign of life.
+	aliveAt time.Time
+	// strikes are the unanswered packets since then, struckAt the time of the last one.
+	strikes     int
+	struckAt    time.Time
+	suspectedAt time.Time
+	trialAt     time.Time
+	// beats are the heartbeats since the suspicion.
+	beats int
+}
+
+// alive notes a sign of life and reports whether it ended a suspicion.
+func (h *health) alive(now time.Time) bool {
+	ended := h.suspected()
+	*h = health{aliveAt: now}
+	return ended
+}
+
+// heard notes a heartbeat in the store.
+func (h *health) heard() {
+	if h.suspected() {
+		h.beats++
+	}
+}
+
+func (h *health) suspected() bool { return !h.suspectedAt.IsZero() }
+
+// strike notes that a packet sent at a time was not answered. It reports whether
+// the target is suspected from now on. Signs of life after the packet outweigh it.
+func (h *health) strike(now, sent time.Time) bool {
+	if !h.aliveAt.Before(sent) {
+		return false
+	}
+	h.strikes++
+	h.struckAt = now
+	if h.suspected() {
+		h.beats = 0
+		return false
+	}
+	h.suspectedAt = now
+	return true
+}
+
+// mayTry reports whether a suspected target may get one flow to find out whether it lives.
+func (h *health) mayTry(now time.Time) bool {
+	if now.Sub(h.trialAt) < trialGap {
+		return false
+	}
+	return h.beats >= trialBeats || now.Sub(h.struckAt) >= trialPause
+}
+
+// dark reports whether open flows of the target may be reset.
+func (h *health) dark(now time.Time) bool {
+	return h.suspected() && h.strikes >= strikesToReset && now.Sub(h.aliveAt) >= resetSilence
+}
+
+// silence describes the evidence.
+func (h *health) silence(now time.Time) Silence {
+	s := Silence{Strikes: h.strikes}
+	if !h.aliveAt.IsZero() {
+		s.For = now.Sub(h.aliveAt)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/telemetry/async.go
@@ -0,0 +1,78 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// asyncLines is how many log lines wait for a slow reader of the log stream.
+	asyncLines = 1024
+	// asyncRate and asyncBurst bound the log volume of a process, in lines a second
+	// and lines. Three times the openers of a balancer at the size of two years fit.
+	asyncRate  = rate.Limit(250)
+	asyncBurst = 1000
+	// asyncFlush is how long Close waits for lines that were not written yet.
+	asyncFlush = 200 * time.Millisecond
+)
+
+// AsyncWriter passes log lines on without ever blocking the process. Lines
+// beyond its rate or its queue are lost and counted.
+type AsyncWriter struct {
+	lines   chan []byte
+	limit   *rate.Limiter
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewAsyncWriter returns a writer that passes lines on to w.
+func NewAsyncWriter(w io.Writer) *AsyncWriter {
+	a := &AsyncWriter{
+		lines: make(chan []byte, asyncLines),
+		limit: rate.NewLimiter(asyncRate, asyncBurst),
+		done:  make(chan struct{}),
+	}
+	go a.pass(w)
+	return a
+}
+
+// Write queues one line. It never fails and never blocks.
+func (a *AsyncWriter) Write(line []byte) (int, error) {
+	if !a.limit.Allow() {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case a.lines <- append([]byte(nil), line...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped is the number of lines that were lost.
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
+
+// Close waits for a short time until the queued lines are written. Nothing may be written after it.
+func (a *AsyncWriter) Close() error {
+	a.once.Do(func() { close(a.lines) })
+	select {
+	case <-a.done:
+	case <-time.After(asyncFlush):
+	}
+	return nil
+}
+
+func (a *AsyncWriter) pass(w io.Writer) {
+	defer close(a.done)
+	for line := range a.lines {
+		if _, err := w.Write(line); err != nil {
+			a.dropped.Add(1) // the log stream is the only place to report to
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/direct/logs.go
@@ -0,0 +1,50 @@
+package direct
+
+import (
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+)
+
+func (n *Node) log(at func(log.Logger) log.Logger, op, msg string, keyvals ...any) {
+	_ = at(n.options.Logger).Log(append([]any{"op", op, "msg", msg}, keyvals...)...) // the log stream is the only place to report to
+}
+
+// logDecision writes one line for each decision that binds, refuses or ends a
+// flow. Packets that follow their binding are counted only.
+func (n *Node) logDecision(p dsr.Packet, d dsr.Decision) {
+	if d.Action == dsr.ActionForward && !p.Opener {
+		return
+	}
+	keyvals := []any{"flow", p.Flow.Caller, "service", p.Flow.Service, "action", d.Action, "reason", d.Reason}
+	if p.Opener {
+		keyvals = append(keyvals, "copy", p.Copy)
+	}
+	if d.Route != nil {
+		keyvals = append(keyvals, "route", d.Route.Name)
+	}
+	if d.Target != nil {
+		keyvals = append(keyvals, "target", d.Target.ID, "entry", d.Target.Revision)
+	}
+	if d.Silence.Strikes > 0 {
+		keyvals = append(keyvals, "silent", d.Silence.For, "unanswered", d.Silence.Strikes)
+	}
+	keyvals = append(keyvals, "config", n.options.Core.Version())
+	n.log(level.Info, "decide", "packet", keyvals...)
+}
+
+// logEvents writes one line for each change of what the decision code believes.
+func (n *Node) logEvents() {
+	for _, e := range n.options.Core.TakeEvents() {
+		n.stats.count("belief", string(e.Kind))
+		keyvals := []any{"change", e.Kind, "revision", e.Revision}
+		if e.Target != nil {
+			keyvals = append(keyvals, "target", e.Target.ID, "address", e.Target.Endpoint, "pool", e.Target.Service)
+		}
+		if e.Silence.Strikes > 0 {
+			keyvals = append(keyvals, "silent", e.Silence.For, "unanswered", e.Silence.Strikes)
+		}
+		n.log(level.Info, "belief", "changed", keyvals...)
+	}
+}
--- /dev/null
+++ b/internal/transport/direct/node.go
@@ -0,0 +1,223 @@
+// Package direct runs a balancer in front of targets that answer callers
+// directly. It reads datagrams, asks the decision code and carries out the outcome.
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+const (
+	// maxDatagramBytes holds the largest packet with its head.
+	maxDatagramBytes = 2048
+	// receiveBufferBytes is the size of the kernel's receive buffer: a second of
+	// packets at ten times the load of one balancer.
+	receiveBufferBytes = 4 << 20
+	// tickInterval is the interval at which flows expire and freezes are noticed.
+	tickInterval = 100 * time.Millisecond
+	// freezeGap is the pause between two ticks from which silence proves nothing,
+	// because the process may not have run.
+	freezeGap = 400 * time.Millisecond
+	// headerTimeout bounds the reading of a request to the readiness address.
+	headerTimeout = time.Second
+	// readErrorPause keeps a broken socket from taking a whole core.
+	readErrorPause = 10 * time.Millisecond
+
+	// leaveLeast is how long a leaving balancer forwards at the least: routers probe
+	// twice a second and need two misses.
+	leaveLeast = 1500 * time.Millisecond
+	// leaveQuiet is the silence after which no router sends to a leaving balancer any more.
+	leaveQuiet = 500 * time.Millisecond
+	// leaveReserve is kept between the end of forwarding and the end of the grace time.
+	leaveReserve = time.Second
+)
+
+// Codec reads and writes the packets of the fabric.
+type Codec interface {
+	// Decode reads a caller's packet. The text of an error names a counter.
+	Decode(data []byte) (dsr.Packet, error)
+	// AppendForward appends the datagram that carries a packet to a target.
+	AppendForward(out, data []byte, t *dsr.Target) []byte
+	// AppendReset appends the datagram that resets the flow of a packet.
+	AppendReset(out []byte, p dsr.Packet) []byte
+}
+
+// Options are the parameters of a node.
+type Options struct {
+	// Packets receives datagrams from the fabric. Callers are reached at its port.
+	Packets netip.AddrPort
+	// Ready is the address of the readiness probe, at ReadyPath.
+	Ready     netip.AddrPort
+	ReadyPath string
+	// Grace is the time that a leaving process has before it is killed.
+	Grace  time.Duration
+	Codec  Codec
+	Core   *dsr.Dispatcher
+	Logger log.Logger
+}
+
+// Node is a running balancer.
+type Node struct {
+	options Options
+	conn    *net.UDPConn
+	ready   net.Listener
+	stats   *stats
+	leaving atomic.Bool
+	// packetAt is the time of the last datagram in nanoseconds since started.
+	packetAt atomic.Int64
+	started  time.Time
+	out      []byte
+}
+
+// New opens the sockets of a node.
+func New(o Options) (*Node, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Packets))
+	if err != nil {
+		return nil, errors.Wrap(err, "packet address")
+	}
+	if err := conn.SetReadBuffer(receiveBufferBytes); err != nil {
+		level.Warn(o.Logger).Log("op", "start", "msg", "receive buffer", "err", err)
+	}
+	ready, err := net.Listen("tcp4", o.Ready.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "readiness address")
+	}
+	return &Node{
+		options: o,
+		conn:    conn,
+		ready:   ready,
+		stats:   newStats(o.Core),
+		started: time.Now(),
+		out:     make([]byte, 0, maxDatagramBytes),
+	}, nil
+}
+
+// Run forwards until ctx ends and the node has left.
+func (n *Node) Run(ctx context.Context) error {
+	server := &http.Server{Handler: n.probes(), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(n.ready) }() // ends with ErrServerClosed at the end
+	defer server.Close()
+	forwarding, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.tick(forwarding)
+	go func() {
+		<-ctx.Done()
+		n.leave()
+		stop()
+		if err := n.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+			n.log(level.Error, "stop", "interrupt the reader", "err", err)
+		}
+	}()
+	n.forward(forwarding)
+	return errors.Wrap(n.conn.Close(), "close the packet socket")
+}
+
+// probes answers the routers. A leaving node is not ready but goes on forwarding.
+func (n *Node) probes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if n.leaving.Load() || !n.options.Core.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// leave waits until the routers send nothing more.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	from := time.Now()
+	n.log(level.Info, "leave", "forwards until the routers send no more packets")
+	limit := max(n.options.Grace-leaveReserve, 0)
+	for time.Since(from) < limit {
+		time.Sleep(tickInterval)
+		quiet := time.Since(n.started) - time.Duration(n.packetAt.Load())
+		if time.Since(from) >= leaveLeast && quiet >= leaveQuiet {
+			break
+		}
+	}
+	n.log(level.Info, "stop", "no longer forwards", "after", time.Since(from))
+}
+
+// tick runs the periodic work of the decision code and notices freezes.
+func (n *Node) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if now.Sub(last) >= freezeGap {
+			n.options.Core.Freeze(now)
+		}
+		last = now
+		n.options.Core.Tick(now)
+		n.logEvents()
+	}
+}
+
+// forward handles datagrams until ctx ends.
+func (n *Node) forward(ctx context.Context) {
+	in := make([]byte, maxDatagramBytes)
+	for ctx.Err() == nil {
+		size, _, err := n.conn.ReadFromUDPAddrPort(in)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil {
+			n.log(level.Error, "read", "packet socket", "err", err)
+			time.Sleep(readErrorPause)
+			continue
+		}
+		now := time.Now()
+		n.packetAt.Store(int64(now.Sub(n.started)))
+		n.handle(now, in[:size])
+	}
+}
+
+// handle decides about one datagram.
+func (n *Node) handle(now time.Time, datagram []byte) {
+	p, err := n.options.Codec.Decode(datagram)
+	if err != nil {
+		n.stats.count("malformed", err.Error())
+		return
+	}
+	d := n.options.Core.Handle(now, p)
+	n.stats.decided(d)
+	var sent error
+	switch d.Action {
+	case dsr.ActionForward:
+		n.out = n.options.Codec.AppendForward(n.out[:0], datagram, d.Target)
+		sent = n.send(d.Target.Endpoint)
+	case dsr.ActionReset:
+		n.out = n.options.Codec.AppendReset(n.out[:0], p)
+		sent = n.send(protocol.Endpoint{IP: p.Flow.Caller.IP, Port: n.options.Packets.Port()})
+	}
+	if sent != nil {
+		n.stats.count("send", "failed")
+		n.log(level.Error, "send", "datagram", "flow", p.Flow.Caller, "service", p.Flow.Service, "err", sent)
+	}
+	n.logDecision(p, d)
+	n.stats.handled(time.Since(now))
+}
+
+func (n *Node) send(to protocol.Endpoint) error {
+	_, err := n.conn.WriteToUDPAddrPort(n.out, to.AddrPort())
+	return err
+}
