Count a copy of a packet as unanswered only from the age of a retransmission

Its packets arrived out of order within microseconds and each counted as unanswered. Ruled out: loss (none on that link), a dead target (it served all the time).

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -280,6 +280,10 @@
 	if sent.Before(d.evidenceFrom) || d.aliveAt.Before(sent) {
 		return
 	}
+	if now.Sub(sent) < repeatAge || now.Sub(f.struckAt) < repeatAge {
+		return
+	}
+	f.struckAt = now
 	if t.health.strike(now, sent) {
 		d.events = append(d.events, Event{Kind: EventTargetSuspected, Target: t, Silence: t.health.silence(now)})
 	}
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -37,6 +37,8 @@
 	// sentAt the time of the latest new bytes.
 	sent   uint32
 	sentAt time.Time
+	// struckAt is when an unanswered packet of the flow last counted against its target.
+	struckAt time.Time
 	// requestFrom is the sequence number at which the request in progress began.
 	requestFrom uint32
 	acked       uint32
--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -10,8 +10,11 @@
 	// strikesToReset is the number of unanswered packets in a row after which open
 	// flows of a target are reset. A single one may be a lost packet.
 	strikesToReset = 2
-	// resetSilence is the shortest silence of a target before its flows are reset.
-	// Callers send again after 200 ms; the rest allows for late timers.
+	// repeatAge is the least age of a packet that a caller sends again. Callers send
+	// again after 200 ms; a copy that follows sooner arrived out of order.
+	repeatAge = 150 * time.Millisecond
+	// resetSilence is the shortest silence of a target before its flows are reset:
+	// the 200 ms after which callers send again, less an allowance for late timers.
 	resetSilence = 180 * time.Millisecond
 	// trialBeats is the number of heartbeats after a suspicion that show that the
 	// target lives. The first one may have been written before, and read late.
--- /dev/null
+++ b/internal/coordination/dsr/health_test.go
@@ -0,0 +1,148 @@
+package dsr
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against packets that arrive out of order being taken for unanswered
+// ones: an upload whose flow moved to this balancer was reset while its target served.
+func TestReorderedPacketsAreNoEvidence(t *testing.T) {
+	b := newBench(t, 3)
+	c := b.dial(0).open()
+	other := b.lively(c.target)
+	b.wait(time.Second)
+	c.seq += 12000
+	c.packet(c.seq, 1200)
+	for i := range 8 {
+		b.now = b.now.Add(100 * time.Microsecond)
+		other.answered(10)
+		d := c.packet(c.seq-uint32(i+1)*1200, 1200)
+		assert.Equal(t, d.Action, ActionForward, "packet %d: %s", i, d.Reason)
+	}
+	assert.Assert(t, !c.target.health.suspected())
+}
+
+// Guards against callers that wait for a dead target until their timeout.
+func TestFlowsOfSilentTargetAreReset(t *testing.T) {
+	b := newBench(t, 3)
+	c := b.dial(0).open()
+	other := b.lively(c.target)
+	b.wait(time.Second)
+	c.request(100)
+	for range 2 {
+		b.wait(200 * time.Millisecond)
+		other.answered(10)
+		if d := c.again(100); d.Action == ActionReset {
+			assert.Equal(t, d.Reason, ReasonTargetSilent)
+			return
+		}
+	}
+	t.Fatal("the flow was not reset after two unanswered packets")
+}
+
+// Guards against resets of flows whose target lives, because the balancer's own
+// link or the process stood still: then no target shows a sign of life.
+func TestOwnSilenceCondemnsNoTarget(t *testing.T) {
+	b := newBench(t, 3)
+	calls := make([]*call, 6)
+	for i := range calls {
+		calls[i] = b.dial(0).open()
+	}
+	b.wait(time.Second)
+	for _, c := range calls {
+		c.request(100)
+	}
+	for range 5 {
+		b.wait(400 * time.Millisecond)
+		for _, c := range calls {
+			assert.Equal(t, c.again(100).Action, ActionForward)
+		}
+	}
+	assert.Equal(t, b.d.Gauges().Suspected, 0)
+}
+
+// Guards against evidence from before a freeze of the process.
+func TestFreezeDiscardsEvidence(t *testing.T) {
+	b := newBench(t, 3)
+	c := b.dial(0).open()
+	other := b.lively(c.target)
+	b.wait(time.Second)
+	c.request(100)
+	b.now = b.now.Add(3 * time.Second)
+	b.d.Freeze(b.now)
+	other.answered(10)
+	for range 3 {
+		assert.Equal(t, c.again(100).Action, ActionForward)
+		b.now = b.now.Add(10 * time.Millisecond)
+	}
+}
+
+// Guards against an opener that goes to a dead target again and again: its copy
+// goes to another one, and so do the openers of other callers.
+func TestCopyOfOpenerGoesToAnotherTarget(t *testing.T) {
+	b := newBench(t, 4)
+	c := b.dial(0)
+	first := c.opener().Target
+	b.wait(200 * time.Millisecond)
+	b.lively(first)
+	d := c.opener()
+	assert.Equal(t, d.Action, ActionForward)
+	assert.Equal(t, d.Reason, ReasonRetried)
+	assert.Assert(t, d.Target != first)
+	for range 20 {
+		assert.Assert(t, b.dial(0).opener().Target != first)
+	}
+}
+
+// Guards against an opener that was lost on the way being taken for a dead
+// target: the copy goes to the same target when it showed signs of life since.
+func TestCopyOfLostOpenerGoesToTheSameTarget(t *testing.T) {
+	b := newBench(t, 1)
+	live := b.dial(0).open()
+	c := b.dial(0)
+	c.opener()
+	b.wait(200 * time.Millisecond)
+	live.request(10)
+	live.answered(10)
+	d := c.opener()
+	assert.Equal(t, d.Reason, ReasonRepeated)
+	assert.Equal(t, d.Target, live.target)
+}
+
+// Guards against a pool that is emptied by suspicion.
+func TestSuspectedPoolIsUsedInFull(t *testing.T) {
+	b := newBench(t, 3)
+	for _, target := range b.d.targets.byID {
+		target.health.suspectedAt = b.now
+		target.health.struckAt = b.now
+	}
+	assert.Equal(t, b.dial(0).opener().Action, ActionForward)
+}
+
+// Guards against a target that is never used again after a suspicion.
+func TestSuspectedTargetIsTriedAgain(t *testing.T) {
+	b := newBench(t, 3)
+	c := b.dial(0)
+	first := c.opener().Target
+	b.wait(200 * time.Millisecond)
+	b.lively(first)
+	c.opener()
+	for i := range trialBeats {
+		for j := range b.targets {
+			b.targets[j].Beat = int64(i + 1)
+			b.targets[j].Revision += 100
+		}
+		b.list()
+	}
+	b.wait(trialGap)
+	trial := b.dial(0)
+	assert.Equal(t, trial.opener().Target, first)
+	assert.Assert(t, b.dial(0).opener().Target != first, "one trial flow at a time")
+	trial.seq++
+	trial.ack = 1
+	trial.packet(trial.seq, 0)
+	assert.Assert(t, !first.health.suspected())
+}
