--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -38,6 +38,8 @@
 	events  []Event
 	// aliveAt is the last sign of life of any target.
 	aliveAt time.Time
+	// readyC is closed once routes and targets are known.
+	readyC chan struct{}
 	// evidenceFrom is the time before which packets prove nothing, because the process did not run.
 	evidenceFrom time.Time
 }
@@ -52,18 +54,26 @@
 		routes:  newRouteTable(),
 		targets: newRegistry(o.FlowLife),
 		flows:   make(map[protocol.FlowKey]*flow),
+		readyC:  make(chan struct{}),
 	}
 }
 
-// Ready reports whether routes and targets are known.
-func (d *Dispatcher) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.ready()
-}
+// Ready returns a channel that is closed once routes and targets are known.
+func (d *Dispatcher) Ready() <-chan struct{} { return d.readyC }
 
 func (d *Dispatcher) ready() bool { return d.routes.version > 0 && d.targets.listed }
 
+// noteReady closes the channel of Ready when the last missing part has arrived.
+func (d *Dispatcher) noteReady() {
+	select {
+	case <-d.readyC:
+	default:
+		if d.ready() {
+			close(d.readyC)
+		}
+	}
+}
+
 // SetRoutes puts a version of the configuration in force, unless it is not newer than the present one.
 func (d *Dispatcher) SetRoutes(set RouteSet) bool {
 	d.mu.Lock()
@@ -74,6 +84,7 @@
 		kind = EventRoutesIgnored
 	}
 	d.events = append(d.events, Event{Kind: kind, Revision: set.Version})
+	d.noteReady()
 	return adopted
 }
 
@@ -82,6 +93,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.events = append(d.events, d.targets.observe(now, l)...)
+	d.noteReady()
 }
 
 // StoreLost tells that the store does not answer.
@@ -237,14 +249,18 @@
 
 // follow notes what a packet tells about its target, and resets the flow when the target is dead.
 func (d *Dispatcher) follow(now time.Time, p Packet, route *Route, t *Target, f *flow) Decision {
+	forward := Decision{Action: ActionForward, Reason: ReasonToken, Target: t, Route: route}
 	if f == nil || f.refused {
 		f = d.join(now, p, route, t)
 	}
+	if f == nil {
+		return forward
+	}
 	f.move(t)
 	f.lastSeen = now
 	if p.Abort {
 		d.remove(p.Flow, f)
-		return Decision{Action: ActionForward, Reason: ReasonKnownFlow, Target: t, Route: route}
+		return forward
 	}
 	repeated := f.note(now, p)
 	if f.progressed {
@@ -262,7 +278,7 @@
 		f.finish()
 		f.closed = true
 	}
-	return Decision{Action: ActionForward, Reason: ReasonToken, Target: t, Route: route}
+	return forward
 }
 
 // alive notes a sign of life of a target.
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -51,29 +51,34 @@
 // open adds a flow for an opener that is forwarded.
 func (d *Dispatcher) open(now time.Time, p Packet, route *Route, t *Target) {
 	f := &flow{route: route, openerSeq: p.Seq, sent: p.Seq + 1, sentAt: now}
-	d.add(now, p.Flow, f)
-	f.move(t)
-	f.start(now, p.Seq+1)
+	if d.add(now, p.Flow, f) {
+		f.move(t)
+		f.start(now, p.Seq+1)
+	}
 }
 
-// join adds a flow that another balancer opened.
+// join adds a flow that another balancer opened. It returns nil when the table is full.
 func (d *Dispatcher) join(now time.Time, p Packet, route *Route, t *Target) *flow {
 	f := &flow{route: route, confirmed: true, sent: p.Seq, sentAt: now, acked: p.Ack}
-	d.add(now, p.Flow, f)
+	if !d.add(now, p.Flow, f) {
+		return nil
+	}
 	f.move(t)
 	return f
 }
 
-// add puts a flow into the table. When the table is full, the flow is routed by
-// its token but not followed.
-func (d *Dispatcher) add(now time.Time, key protocol.FlowKey, f *flow) {
+// add puts a flow into the table and reports whether it fits. Other flows are
+// routed by their tokens but not followed.
+func (d *Dispatcher) add(now time.Time, key protocol.FlowKey, f *flow) bool {
 	f.openedAt, f.lastSeen = now, now
 	if old := d.flows[key]; old != nil {
 		d.remove(key, old)
 	}
-	if len(d.flows) < d.options.FlowCapacity {
-		d.flows[key] = f
+	if len(d.flows) >= d.options.FlowCapacity {
+		return false
 	}
+	d.flows[key] = f
+	return true
 }
 
 func (d *Dispatcher) removeKey(key protocol.FlowKey) {
--- a/internal/coordination/dsr/packet.go
+++ b/internal/coordination/dsr/packet.go
@@ -61,11 +61,10 @@
 // Reasons of decisions.
 const (
 	// Forwarded.
-	ReasonAdmitted  Reason = "admitted"
-	ReasonRepeated  Reason = "repeated-opener"
-	ReasonRetried   Reason = "retried-opener"
-	ReasonKnownFlow Reason = "known-flow"
-	ReasonToken     Reason = "token"
+	ReasonAdmitted Reason = "admitted"
+	ReasonRepeated Reason = "repeated-opener"
+	ReasonRetried  Reason = "retried-opener"
+	ReasonToken    Reason = "token"
 
 	// Reset.
 	ReasonNoRoute      Reason = "no-route"
--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,51 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a log stream that nobody reads, which would stop the process.
+func TestAsyncWriterNeverBlocks(t *testing.T) {
+	reader, writer := io.Pipe()
+	a := NewAsyncWriter(writer)
+	for i := range asyncLines + asyncBurst + 100 {
+		fmt.Fprintf(a, "line %d\n", i)
+	}
+	assert.Assert(t, a.Dropped() > 0)
+	assert.NilError(t, a.Close())
+	reader.Close()
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// Guards against lines that are lost at the end of the process, or mixed up.
+func TestAsyncWriterKeepsLinesInOrder(t *testing.T) {
+	var out lockedBuffer
+	a := NewAsyncWriter(&out)
+	want := ""
+	for i := range 100 {
+		line := fmt.Sprintf("line %d\n", i)
+		want += line
+		_, err := a.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, a.Close())
+	<-a.done
+	assert.Equal(t, out.String(), want)
+	assert.Equal(t, a.Dropped(), int64(0))
+}
--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,11 @@
 	// readErrorPause keeps a broken socket from taking a whole core.
 	readErrorPause = 10 * time.Millisecond
 
+	// heldDatagrams bounds the datagrams that wait for routes and targets, heldAge
+	// their age: callers repeat an opener 200 and 600 ms after the first.
+	heldDatagrams = 512
+	heldAge       = 400 * time.Millisecond
+
 	// leaveLeast is how long a leaving balancer forwards at the least: routers probe
 	// twice a second and need two misses.
 	leaveLeast = 1500 * time.Millisecond
@@ -78,7 +84,17 @@
 	// packetAt is the time of the last datagram in nanoseconds since started.
 	packetAt atomic.Int64
 	started  time.Time
-	out      []byte
+
+	// mu serialises the handling of datagrams.
+	mu   sync.Mutex
+	out  []byte
+	held []heldDatagram
+}
+
+// heldDatagram is a datagram that arrived before routes and targets were known.
+type heldDatagram struct {
+	at   time.Time
+	data []byte
 }
 
 // New opens the sockets of a node.
@@ -112,6 +128,7 @@
 	forwarding, stop := context.WithCancel(context.Background())
 	defer stop()
 	go n.tick(forwarding)
+	go n.release(forwarding)
 	go func() {
 		<-ctx.Done()
 		n.leave()
@@ -128,13 +145,51 @@
 func (n *Node) probes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if n.leaving.Load() || !n.options.Core.Ready() {
+		if n.leaving.Load() || !n.isReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
 	return mux
 }
 
+func (n *Node) isReady() bool {
+	select {
+	case <-n.options.Core.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// release handles the datagrams that arrived before routes and targets were known.
+func (n *Node) release(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-n.options.Core.Ready():
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.log(level.Info, "ready", "routes and targets are known", "after", now.Sub(n.started), "held", len(n.held))
+	for _, h := range n.held {
+		if now.Sub(h.at) <= heldAge {
+			n.handle(now, h.data)
+		}
+	}
+	n.held = nil
+}
+
+// hold keeps a datagram until routes and targets are known.
+func (n *Node) hold(now time.Time, datagram []byte) {
+	if len(n.held) >= heldDatagrams {
+		n.stats.count("hold", "full")
+		return
+	}
+	n.stats.count("hold", "held")
+	n.held = append(n.held, heldDatagram{at: now, data: append([]byte(nil), datagram...)})
+}
+
 // leave waits until the routers send nothing more.
 func (n *Node) leave() {
 	n.leaving.Store(true)
@@ -187,7 +242,9 @@
 		}
 		now := time.Now()
 		n.packetAt.Store(int64(now.Sub(n.started)))
+		n.mu.Lock()
 		n.handle(now, in[:size])
+		n.mu.Unlock()
 	}
 }
 
@@ -199,6 +256,10 @@
 		return
 	}
 	d := n.options.Core.Handle(now, p)
+	if d.Reason == dsr.ReasonNotReady {
+		n.hold(now, datagram)
+		return
+	}
 	n.stats.decided(d)
 	var sent error
 	switch d.Action {
--- /dev/null
+++ b/internal/transport/direct/node_test.go
@@ -0,0 +1,147 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+// plainCodec is a codec for tests: a byte for the kind, then the caller's port.
+type plainCodec struct{}
+
+const openerByte, dataByte = 'o', 'd'
+
+var testService = protocol.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+
+func (plainCodec) Decode(data []byte) (dsr.Packet, error) {
+	if len(data) != 3 {
+		return dsr.Packet{}, errors.New("length")
+	}
+	p := dsr.Packet{Opener: data[0] == openerByte, Token: 0}
+	p.Flow.Caller = protocol.Endpoint{IP: [4]byte{127, 0, 0, 1}, Port: binary.BigEndian.Uint16(data[1:])}
+	p.Flow.Service = testService
+	return p, nil
+}
+
+func (plainCodec) AppendForward(out, data []byte, t *dsr.Target) []byte {
+	return append(append(out, 'f'), data...)
+}
+
+func (plainCodec) AppendReset(out []byte, p dsr.Packet) []byte { return append(out, 'r') }
+
+// testNode is a node with a target, both on loopback.
+type testNode struct {
+	t      *testing.T
+	core   *dsr.Dispatcher
+	node   *Node
+	target *net.UDPConn
+	caller *net.UDPConn
+	stop   context.CancelFunc
+	done   chan error
+}
+
+func startNode(t *testing.T) *testNode {
+	target, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	core := dsr.NewDispatcher(dsr.Options{Place: "a", FlowLife: time.Minute})
+	node, err := New(Options{
+		Packets:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Ready:     netip.MustParseAddrPort("127.0.0.1:0"),
+		ReadyPath: "/ready",
+		Grace:     6 * time.Second,
+		Codec:     plainCodec{},
+		Core:      core,
+		Logger:    log.NewNopLogger(),
+	})
+	assert.NilError(t, err)
+	caller, err := net.DialUDP("udp4", nil, node.conn.LocalAddr().(*net.UDPAddr))
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{t: t, core: core, node: node, target: target, caller: caller, stop: stop, done: make(chan error, 1)}
+	go func() { n.done <- node.Run(ctx) }()
+	t.Cleanup(func() { target.Close(); caller.Close(); stop() })
+	return n
+}
+
+func (n *testNode) send(kind byte, port uint16) {
+	_, err := n.caller.Write(binary.BigEndian.AppendUint16([]byte{kind}, port))
+	assert.NilError(n.t, err)
+}
+
+// received reads one datagram at the target. The limit only ends a test that fails.
+func (n *testNode) received() []byte {
+	assert.NilError(n.t, n.target.SetReadDeadline(time.Now().Add(30*time.Second)))
+	buffer := make([]byte, 100)
+	size, err := n.target.Read(buffer)
+	assert.NilError(n.t, err)
+	return buffer[:size]
+}
+
+func (n *testNode) learn() {
+	n.core.SetRoutes(dsr.RouteSet{Version: 1, Routes: []*dsr.Route{{Name: "r", Address: testService,
+		Backends: []dsr.Backend{{Service: "web", Weight: 1}}}}})
+	n.core.Observe(time.Now(), dsr.Listing{Revision: 1, Targets: []dsr.Announcement{{ID: "i-1", Service: "web", Slots: 1,
+		Endpoint: protocol.NewEndpoint(n.target.LocalAddr().(*net.UDPAddr).AddrPort())}}})
+}
+
+func (n *testNode) ready() int {
+	response, err := http.Get(fmt.Sprintf("http://%s/ready", n.node.ready.Addr()))
+	assert.NilError(n.t, err)
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against openers that are lost because they arrive before the store has
+// answered: after a power loss, all callers open their flows at once.
+func TestOpenersBeforeReadinessAreHeld(t *testing.T) {
+	n := startNode(t)
+	assert.Equal(t, n.ready(), http.StatusServiceUnavailable)
+	n.send(openerByte, 1000)
+	for n.node.stats.counters.Value("hold", "held") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n.learn()
+	assert.Assert(t, bytes.Equal(n.received(), []byte{'f', openerByte, 1000 >> 8, 1000 & 0xff}))
+	assert.Equal(t, n.ready(), http.StatusOK)
+}
+
+// Guards against a leaving balancer that still asks for packets, or that drops
+// those which the routers send until they have noticed.
+func TestLeavingNodeForwardsButIsNotReady(t *testing.T) {
+	n := startNode(t)
+	n.learn()
+	n.send(openerByte, 1000)
+	n.received()
+	n.stop()
+	for !n.node.leaving.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, n.ready(), http.StatusServiceUnavailable)
+	n.send(openerByte, 1001)
+	assert.Assert(t, bytes.Equal(n.received(), []byte{'f', openerByte, 1001 >> 8, 1001 & 0xff}))
+	assert.NilError(t, <-n.done)
+}
+
+// Guards against malformed datagrams that stop the reader.
+func TestMalformedDatagramIsCounted(t *testing.T) {
+	n := startNode(t)
+	n.learn()
+	_, err := n.caller.Write([]byte("xxxxx"))
+	assert.NilError(t, err)
+	n.send(openerByte, 1000)
+	n.received()
+	assert.Equal(t, n.node.stats.counters.Value("malformed", "length"), int64(1))
+}
--- a/internal/transport/direct/stats.go
+++ b/internal/transport/direct/stats.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// Latencies from a microsecond to ten seconds are kept with two digits.
-	lowestLatency  = int64(time.Microsecond / time.Microsecond)
+	// Latencies are kept in microseconds, up to ten seconds, with two digits.
+	lowestLatency  = 1
 	highestLatency = int64(10 * time.Second / time.Microsecond)
 	latencyDigits  = 2
 )
