--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -265,9 +265,9 @@
 	}
 }
 
-// Guards against an alarm without an entry in docs/operations.md.
+// Guards against an alarm without an entry in docs/OPERATIONS.md.
 func TestOperationsPageHasEveryAlarm(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	for _, alarm := range []follower.Alarm{
 		follower.AlarmLowerHead, follower.AlarmDigestConflict, follower.AlarmSnapshotRefused, follower.AlarmPlatformUnreachable,
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -127,13 +127,6 @@
 	return events
 }
 
-// Version is the version of the routes in force, 0 before the first.
-func (d *Dispatcher) Version() uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.routes.version
-}
-
 // Gauges are the sizes of the dispatcher's state.
 type Gauges struct {
 	Flows, Targets, Suspected int
@@ -163,10 +156,14 @@
 	if !d.ready() {
 		return Decision{Reason: ReasonNotReady}
 	}
+	decide := d.established
 	if p.Opener {
-		return d.opener(now, p)
+		decide = d.opener
 	}
-	return d.established(now, p)
+	decision := decide(now, p)
+	decision.Version = d.routes.version
+	decision.ListingAge = now.Sub(d.targets.listedAt)
+	return decision
 }
 
 // opener decides about the first packet of a flow or a copy of it.
@@ -197,8 +194,9 @@
 		d.add(now, p.Flow, &flow{route: route, openerSeq: p.Seq, refused: true})
 		return Decision{Action: ActionReset, Reason: ReasonNoTarget, Route: route}
 	}
+	running := t.running
 	d.open(now, p, route, t)
-	return Decision{Action: ActionForward, Reason: ReasonAdmitted, Target: t, Route: route}
+	return Decision{Action: ActionForward, Reason: ReasonAdmitted, Target: t, Route: route, Running: running}
 }
 
 // repeated decides about a copy of an opener that this balancer has seen before.
--- a/internal/coordination/dsr/packet.go
+++ b/internal/coordination/dsr/packet.go
@@ -1,6 +1,10 @@
 package dsr
 
-import "github.com/kumquatworks/kumquatworks/internal/protocol"
+import (
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
 
 // Token names a target in the field of a packet that both ends of a flow repeat.
 // Zero stands for no target.
@@ -90,6 +94,12 @@
 	Target *Target
 	// Route is the route of the packet, nil when it has none.
 	Route *Route
-	// Silence is for how long the target has shown no sign of life, when that decided, in this balancer's view.
+	// Running is the number of requests in progress at the target before an opener
+	// was admitted, as this balancer counts them.
+	Running int
+	// Version is the version of the routes, ListingAge the age of the reading of the targets that decided.
+	Version    uint64
+	ListingAge time.Duration
+	// Silence is what spoke against the target of a copy or a reset.
 	Silence Silence
 }
--- a/internal/coordination/dsr/routing_test.go
+++ b/internal/coordination/dsr/routing_test.go
@@ -75,7 +75,7 @@
 	assert.Assert(t, b.d.SetRoutes(routesOf(5, "web")))
 	assert.Assert(t, !b.d.SetRoutes(routesOf(4, "other")))
 	assert.Assert(t, !b.d.SetRoutes(routesOf(5, "other")))
-	assert.Equal(t, b.d.Version(), uint64(5))
+	assert.Equal(t, b.d.Gauges().RoutesVersion, uint64(5))
 	assert.Equal(t, b.dial(0).opener().Target.Service, "web")
 }
 
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -93,8 +93,10 @@
 	byToken map[Token]*Target
 	// services holds the targets that serve, by service.
 	services map[string][]*Target
+	// revision and listedAt are those of the latest listing.
 	revision uint64
 	listed   bool
+	listedAt time.Time
 
 	// keepAbsentUntil is set when the store returns.
 	keepAbsentUntil time.Time
@@ -129,7 +131,7 @@
 	if g.listed && l.Revision < g.revision {
 		return []Event{{Kind: EventListingIgnored, Revision: l.Revision}}
 	}
-	g.listed, g.revision = true, l.Revision
+	g.listed, g.listedAt, g.revision = true, now, l.Revision
 	var events []Event
 	present := make(map[string]bool, len(l.Targets))
 	for _, a := range l.Targets {
--- a/internal/scenario/operator_test.go
+++ b/internal/scenario/operator_test.go
@@ -25,7 +25,7 @@
 	})
 }
 
-// walkHeading begins the section of docs/operations.md whose commands are run.
+// walkHeading begins the section of docs/OPERATIONS.md whose commands are run.
 const walkHeading = "### Try it on one machine\n"
 
 // walkStart ends the processes of a walk that fails half-way.
@@ -33,10 +33,10 @@
 
 var loopbackAddress = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
-// Guards against a first walk through docs/operations.md that does not work as
+// Guards against a first walk through docs/OPERATIONS.md that does not work as
 // written. Only the ports are replaced, by free ones.
 func TestWalkOfOperationsPage(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	_, section, _ := strings.Cut(string(page), walkHeading)
 	_, block, _ := strings.Cut(section, "```sh\n")
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -7,6 +7,9 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 )
 
+// logDepth is the number of stack frames between the caller of Node.log and the logger.
+const logDepth = 4
+
 func (n *Node) log(at func(log.Logger) log.Logger, op, msg string, keyvals ...any) {
 	_ = at(n.options.Logger).Log(append([]any{"op", op, "msg", msg}, keyvals...)...) // the log stream is the only place to report to
 }
@@ -19,7 +22,7 @@
 	}
 	keyvals := []any{"flow", p.Flow.Caller, "service", p.Flow.Service, "action", d.Action, "reason", d.Reason}
 	if p.Opener {
-		keyvals = append(keyvals, "copy", p.Copy)
+		keyvals = append(keyvals, "copy", p.Copy, "running", d.Running)
 	}
 	if d.Route != nil {
 		keyvals = append(keyvals, "route", d.Route.Name)
@@ -28,9 +31,9 @@
 		keyvals = append(keyvals, "target", d.Target.ID, "entry", d.Target.Revision)
 	}
 	if d.Silence.Strikes > 0 {
-		keyvals = append(keyvals, "silent", d.Silence.For, "unanswered", d.Silence.Strikes)
+		keyvals = append(keyvals, "silent_ms", d.Silence.For.Milliseconds(), "unanswered", d.Silence.Strikes)
 	}
-	keyvals = append(keyvals, "config", n.options.Core.Version())
+	keyvals = append(keyvals, "config", d.Version, "listing_age_ms", d.ListingAge.Milliseconds())
 	n.log(level.Info, "decide", "packet", keyvals...)
 }
 
@@ -43,7 +46,7 @@
 			keyvals = append(keyvals, "target", e.Target.ID, "address", e.Target.Endpoint, "pool", e.Target.Service)
 		}
 		if e.Silence.Strikes > 0 {
-			keyvals = append(keyvals, "silent", e.Silence.For, "unanswered", e.Silence.Strikes)
+			keyvals = append(keyvals, "silent_ms", e.Silence.For.Milliseconds(), "unanswered", e.Silence.Strikes)
 		}
 		n.log(level.Info, "belief", "changed", keyvals...)
 	}
--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -110,6 +110,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "readiness address")
 	}
+	o.Logger = log.With(o.Logger, "caller", log.Caller(logDepth))
 	return &Node{
 		options: o,
 		conn:    conn,
