Let balancers of a place follow one another instead of reading the store

A balancer now probes its parent in a tree over the members of its place and fetches what is newer; one whose data are too old reads by itself.

--- /dev/null
+++ b/internal/coordination/dsr/delta.go
@@ -0,0 +1,122 @@
+package dsr
+
+import (
+	"time"
+)
+
+// Delta is what changed at the targets as one balancer sees them, for another one.
+type Delta struct {
+	// Epoch names the balancer's process, Change is its counter of changes.
+	Epoch  uint64
+	Change uint64
+	// Revision is that of the latest reading.
+	Revision uint64
+	// Full is set when Targets are all that serve, and not only those that changed.
+	Full    bool
+	Targets []Announcement
+	// Gone are the IDs of targets that ended.
+	Gone []string
+}
+
+// Summary tells how new the data of a balancer are.
+type Summary struct {
+	RoutesVersion uint64
+	Epoch         uint64
+	Change        uint64
+	// Readings counts the readings of the platform that were taken here.
+	Readings uint64
+	// AsOf is the latest time at which the data were known to be the platform's.
+	AsOf time.Time
+}
+
+// Summary returns how new the data are. ok is false before there are any.
+func (d *Dispatcher) Summary() (s Summary, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.targets
+	return Summary{RoutesVersion: d.routes.version, Epoch: g.epoch, Change: g.change, Readings: g.readings, AsOf: g.listedAt}, d.ready()
+}
+
+// Delta returns what changed after a change of this process, or everything.
+func (d *Dispatcher) Delta(epoch, after uint64) Delta {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.targets
+	delta := Delta{Epoch: g.epoch, Change: g.change, Revision: g.revision}
+	delta.Full = epoch != g.epoch || after < g.forgotten || after > g.change
+	for id, t := range g.byID {
+		switch {
+		case t.gone.IsZero() && (delta.Full || t.changed > after):
+			delta.Targets = append(delta.Targets, t.Announcement)
+		case !t.gone.IsZero() && !delta.Full && t.changed > after:
+			delta.Gone = append(delta.Gone, id)
+		}
+	}
+	return delta
+}
+
+// Apply takes what changed at another balancer. It reports false, and changes
+// nothing, when the other balancer's reading is older than what is known here.
+func (d *Dispatcher) Apply(now time.Time, delta Delta) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	applied, events := d.targets.apply(now, delta)
+	d.events = append(d.events, events...)
+	d.noteReady()
+	return applied
+}
+
+func (g *registry) apply(now time.Time, delta Delta) (applied bool, events []Event) {
+	if g.listed && delta.Revision < g.revision {
+		return false, []Event{{Kind: EventListingIgnored, Revision: delta.Revision}}
+	}
+	g.listed, g.revision = true, delta.Revision
+	present := make(map[string]bool, len(delta.Targets))
+	for _, a := range delta.Targets {
+		present[a.ID] = true
+		events = append(events, g.take(now, a)...)
+	}
+	ended := delta.Gone
+	if delta.Full {
+		ended = g.missing(present)
+	}
+	for _, id := range ended {
+		if t := g.byID[id]; t != nil && t.gone.IsZero() {
+			events = append(events, g.end(now, t))
+		}
+	}
+	g.forget(now)
+	g.index()
+	return true, events
+}
+
+// missing returns the IDs of targets that are not among those present.
+func (g *registry) missing(present map[string]bool) []string {
+	var ids []string
+	for id := range g.byID {
+		if !present[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Confirm tells that the data were those of the platform at a time.
+func (d *Dispatcher) Confirm(asOf time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if asOf.After(d.targets.listedAt) {
+		d.targets.listedAt = asOf
+	}
+}
+
+// Routes returns the routes in force.
+func (d *Dispatcher) Routes() RouteSet {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	set := RouteSet{Version: d.routes.version, IdleTimeout: d.routes.idle}
+	for _, r := range d.routes.current {
+		set.Routes = append(set.Routes, r)
+	}
+	return set
+}
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -64,6 +65,8 @@
 	// absentSince is when the target was first missing from a listing while it may still come back.
 	absentSince time.Time
 	coldUntil   time.Time
+	// changed is the registry's change counter when the target last changed in a way that matters to others.
+	changed uint64
 
 	// open and running count the flows and the requests in progress of this balancer.
 	open    int
@@ -98,6 +101,14 @@
 	listed   bool
 	listedAt time.Time
 
+	// readings counts the listings that were taken.
+	readings uint64
+	// epoch names this registry, change counts its changes, and forgotten is the
+	// latest change of a target that was forgotten.
+	epoch     uint64
+	change    uint64
+	forgotten uint64
+
 	// keepAbsentUntil is set when the store returns.
 	keepAbsentUntil time.Time
 	storeAway       bool
@@ -110,6 +121,7 @@
 		byID:        make(map[string]*Target),
 		byToken:     make(map[Token]*Target),
 		services:    make(map[string][]*Target),
+		epoch:       rand.Uint64(),
 		tokenLife:   flowLife + tokenSlack,
 		deriveToken: tokenOf,
 	}
@@ -132,6 +144,7 @@
 		return []Event{{Kind: EventListingIgnored, Revision: l.Revision}}
 	}
 	g.listed, g.listedAt, g.revision = true, now, l.Revision
+	g.readings++
 	var events []Event
 	present := make(map[string]bool, len(l.Targets))
 	for _, a := range l.Targets {
@@ -155,6 +168,7 @@
 		t.coldUntil = now.Add(a.ColdFor)
 		g.byID[a.ID] = t
 		g.claimToken(t)
+		g.touch(t)
 		return []Event{{Kind: EventTargetAdded, Target: t, Revision: a.Revision}}
 	}
 	return g.update(now, t, a)
@@ -162,8 +176,10 @@
 
 func (g *registry) update(now time.Time, t *Target, a Announcement) []Event {
 	var events []Event
-	restarted := a.Started != t.Started
-	if restarted {
+	if g.differs(t, a) {
+		g.touch(t)
+	}
+	if a.Started != t.Started {
 		t.health = health{}
 		events = append(events, Event{Kind: EventTargetRestarted, Target: t, Revision: a.Revision})
 	}
@@ -187,6 +203,28 @@
 	return events
 }
 
+// touch notes that a target changed in a way that matters to others.
+func (g *registry) touch(t *Target) {
+	g.change++
+	t.changed = g.change
+}
+
+// differs reports whether an announcement tells more than another heartbeat.
+func (g *registry) differs(t *Target, a Announcement) bool {
+	if !t.gone.IsZero() {
+		return true
+	}
+	a.Beat, a.Revision, a.ColdFor = t.Beat, t.Revision, t.ColdFor
+	return a != t.Announcement
+}
+
+// end marks a target as gone.
+func (g *registry) end(now time.Time, t *Target) Event {
+	t.gone = now
+	g.touch(t)
+	return Event{Kind: EventTargetGone, Target: t, Revision: g.revision}
+}
+
 // claimToken gives the token to the target that was created first. The other one
 // receives no flows while the first may still have some.
 func (g *registry) claimToken(t *Target) {
@@ -215,8 +253,7 @@
 			if now.Before(g.keepAbsentUntil) || g.storeAway || many && now.Sub(t.absentSince) < returnGrace {
 				continue
 			}
-			t.gone = now
-			events = append(events, Event{Kind: EventTargetGone, Target: t, Revision: g.revision})
+			events = append(events, g.end(now, t))
 		}
 	}
 	return events
@@ -229,6 +266,7 @@
 			continue
 		}
 		delete(g.byID, id)
+		g.forgotten = max(g.forgotten, t.changed)
 		if g.byToken[t.Token] == t {
 			delete(g.byToken, t.Token)
 			g.reassign(t.Token)
--- /dev/null
+++ b/internal/transport/feed/convert.go
@@ -0,0 +1,126 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// handler answers the requests of followers.
+type handler struct{ core *dsr.Dispatcher }
+
+// Routes returns the routes in force.
+func (h *handler) Routes(context.Context, *wire.FeedRoutesRequest) (*wire.FeedRoutesResponse, error) {
+	return encodeRoutes(h.core.Routes()), nil
+}
+
+// Targets returns the targets that changed after a change of this process, or all.
+func (h *handler) Targets(_ context.Context, r *wire.FeedTargetsRequest) (*wire.FeedTargetsResponse, error) {
+	return encodeDelta(h.core.Delta(r.GetEpoch(), r.GetAfter())), nil
+}
+
+func encodeRoutes(set dsr.RouteSet) *wire.FeedRoutesResponse {
+	response := &wire.FeedRoutesResponse{Version: set.Version, IdleTimeoutMs: set.IdleTimeout.Milliseconds()}
+	for _, r := range set.Routes {
+		route := &wire.FeedRoute{
+			Name:      r.Name,
+			Ip:        r.Address.IP[:],
+			Port:      uint32(r.Address.Port),
+			TimeoutMs: r.Timeout.Milliseconds(),
+		}
+		for _, b := range r.Backends {
+			route.Backends = append(route.Backends, &wire.FeedBackend{Service: b.Service, Weight: b.Weight})
+		}
+		response.Routes = append(response.Routes, route)
+	}
+	return response
+}
+
+func decodeRoutes(response *wire.FeedRoutesResponse) (dsr.RouteSet, error) {
+	set := dsr.RouteSet{Version: response.GetVersion(), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
+	for _, route := range response.GetRoutes() {
+		address, err := endpoint(route.GetIp(), route.GetPort())
+		if err != nil {
+			return dsr.RouteSet{}, errors.Wrapf(err, "route %s", route.GetName())
+		}
+		r := &dsr.Route{Name: route.GetName(), Address: address, Timeout: milliseconds(route.GetTimeoutMs())}
+		for _, b := range route.GetBackends() {
+			r.Backends = append(r.Backends, dsr.Backend{Service: b.GetService(), Weight: b.GetWeight()})
+		}
+		set.Routes = append(set.Routes, r)
+	}
+	return set, nil
+}
+
+func encodeDelta(d dsr.Delta) *wire.FeedTargetsResponse {
+	response := &wire.FeedTargetsResponse{
+		Epoch:    d.Epoch,
+		Change:   d.Change,
+		Revision: d.Revision,
+		Full:     d.Full,
+		Gone:     d.Gone,
+	}
+	for _, a := range d.Targets {
+		response.Targets = append(response.Targets, &wire.FeedTarget{
+			Id:          a.ID,
+			Incarnation: a.Incarnation,
+			Started:     a.Started,
+			Service:     a.Service,
+			Ip:          a.Endpoint.IP[:],
+			Port:        uint32(a.Endpoint.Port),
+			Place:       a.Place,
+			Slots:       uint32(a.Slots),
+			Draining:    a.Draining,
+			ColdForMs:   a.ColdFor.Milliseconds(),
+			Beat:        a.Beat,
+			Created:     a.Created,
+			Revision:    a.Revision,
+		})
+	}
+	return response
+}
+
+func decodeDelta(response *wire.FeedTargetsResponse) (dsr.Delta, error) {
+	d := dsr.Delta{
+		Epoch:    response.GetEpoch(),
+		Change:   response.GetChange(),
+		Revision: response.GetRevision(),
+		Full:     response.GetFull(),
+		Gone:     response.GetGone(),
+	}
+	for _, t := range response.GetTargets() {
+		address, err := endpoint(t.GetIp(), t.GetPort())
+		if err != nil {
+			return dsr.Delta{}, errors.Wrapf(err, "target %s", t.GetId())
+		}
+		d.Targets = append(d.Targets, dsr.Announcement{
+			ID:          t.GetId(),
+			Incarnation: t.GetIncarnation(),
+			Started:     t.GetStarted(),
+			Service:     t.GetService(),
+			Endpoint:    address,
+			Place:       t.GetPlace(),
+			Slots:       int(t.GetSlots()),
+			Draining:    t.GetDraining(),
+			ColdFor:     milliseconds(t.GetColdForMs()),
+			Beat:        t.GetBeat(),
+			Created:     t.GetCreated(),
+			Revision:    t.GetRevision(),
+		})
+	}
+	return d, nil
+}
+
+func endpoint(ip []byte, port uint32) (protocol.Endpoint, error) {
+	if len(ip) != 4 || port > 65535 {
+		return protocol.Endpoint{}, errors.Errorf("address %x:%d is not IPv4", ip, port)
+	}
+	return protocol.Endpoint{IP: [4]byte(ip), Port: uint16(port)}, nil
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/transport/feed/feed.go
@@ -0,0 +1,347 @@
+// Package feed lets balancers of a place follow one another instead of reading
+// the platform. A balancer probes its parent by datagrams and fetches over Twirp
+// what the answers show to be newer.
+package feed
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+const (
+	// limitShare is the age from which data are too old, as a share of the time
+	// within which a change must be in force. The rest is for reading by oneself.
+	limitShare = 0.55
+	// probesPerLimit is how many probes fit into the limit, so that several may be lost.
+	probesPerLimit = 8
+	// membersInterval is the pause between two readings of the list of members. A
+	// balancer that is missing from a list reads the platform until the next one.
+	membersInterval = 10 * time.Second
+	// membersFirst is the pause before the second reading. When a whole place starts,
+	// the first one lists few members.
+	membersFirst = 2 * time.Second
+	// membersRetry is the pause after a failed reading or registration.
+	membersRetry = 2 * time.Second
+	// fetchTimeout bounds a request to a parent in the same place.
+	fetchTimeout = time.Second
+	// maxProbeBytes is more than any probe or answer takes.
+	maxProbeBytes = 256
+	// readErrorPause keeps a broken socket from taking a whole core.
+	readErrorPause = 10 * time.Millisecond
+)
+
+// Directory is where the balancers of a place find one another.
+type Directory interface {
+	// Register enters this balancer, or confirms its entry.
+	Register(ctx context.Context, m feed.Member) error
+	// Members lists the balancers of the place.
+	Members(ctx context.Context) ([]feed.Member, error)
+}
+
+// Options are the parameters of a service.
+type Options struct {
+	Self feed.Member
+	// Bound is the time within which a change must be in force.
+	Bound     time.Duration
+	Core      *dsr.Dispatcher
+	Directory Directory
+	Logger    log.Logger
+}
+
+// Service follows a parent and serves followers.
+type Service struct {
+	options  Options
+	limit    time.Duration
+	conn     *net.UDPConn
+	listener net.Listener
+	client   *http.Client
+
+	mu       sync.Mutex
+	follower *feed.Follower
+	parent   feed.Member
+	sequence uint64
+	// epoch and change are those of the parent's data that were applied last, and
+	// readings the number of own readings before. A reading of its own may differ
+	// from what the parent holds, so everything is fetched after it.
+	epoch    uint64
+	change   uint64
+	readings uint64
+	fetching bool
+	reading  bool
+}
+
+// New opens the sockets of a service.
+func New(o Options) (*Service, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Self.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "feed datagrams")
+	}
+	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "feed requests")
+	}
+	o.Self.Address = address
+	limit := time.Duration(limitShare * float64(o.Bound))
+	return &Service{
+		options:  o,
+		limit:    limit,
+		conn:     conn,
+		listener: listener,
+		client:   &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		follower: feed.NewFollower(o.Self.VM, limit),
+		reading:  true,
+	}, nil
+}
+
+// Address is where the service listens.
+func (s *Service) Address() netip.AddrPort { return s.options.Self.Address }
+
+// Reads reports whether this balancer must read the platform by itself.
+func (s *Service) Reads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reads := s.follower.Reads(time.Now())
+	if reads != s.reading {
+		s.reading = reads
+		s.log(level.Info, "reading changed", "reads", reads, "parent", s.parent.VM)
+	}
+	return reads
+}
+
+// Run serves and follows until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	server := &http.Server{Handler: wire.NewFeedServer(&handler{core: s.options.Core}), ReadHeaderTimeout: fetchTimeout}
+	go func() { _ = server.Serve(s.listener) }() // ends with ErrServerClosed at the end
+	go s.receive(ctx)
+	go s.followMembers(ctx)
+	ticker := time.NewTicker(s.limit / probesPerLimit)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = server.Close() // the process ends
+			_ = s.conn.Close()
+			return
+		case <-ticker.C:
+			s.probe(time.Now())
+		}
+	}
+}
+
+// probe asks the parent how new its data are.
+func (s *Service) probe(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parent, ok := s.follower.Parent(now)
+	if !ok {
+		return
+	}
+	if parent != s.parent {
+		s.log(level.Info, "parent changed", "parent", parent.VM, "before", s.parent.VM)
+		s.parent = parent
+	}
+	s.follower.Probed(now, parent)
+	s.sequence++
+	s.send(&wire.FeedProbe{Sequence: s.sequence}, kindProbe, parent.Address)
+}
+
+// Kinds of datagrams, in their first byte.
+const (
+	kindProbe = 'p'
+	kindState = 's'
+)
+
+func (s *Service) send(m proto.Message, kind byte, to netip.AddrPort) {
+	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{kind}, m)
+	if err == nil {
+		_, err = s.conn.WriteToUDPAddrPort(data, to)
+	}
+	if err != nil {
+		s.log(level.Warn, "datagram not sent", "to", to, "err", err)
+	}
+}
+
+// receive handles datagrams until ctx ends.
+func (s *Service) receive(ctx context.Context) {
+	buffer := make([]byte, maxProbeBytes)
+	for ctx.Err() == nil {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.log(level.Error, "datagrams not read", "err", err)
+			time.Sleep(readErrorPause)
+			continue
+		}
+		if n > 0 {
+			s.handle(ctx, time.Now(), buffer[0], buffer[1:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		}
+	}
+}
+
+// handle answers a probe or takes an answer. Datagrams that cannot be read are ignored.
+func (s *Service) handle(ctx context.Context, now time.Time, kind byte, data []byte, from netip.AddrPort) {
+	switch kind {
+	case kindProbe:
+		var probe wire.FeedProbe
+		if proto.Unmarshal(data, &probe) == nil {
+			s.answer(now, probe.GetSequence(), from)
+		}
+	case kindState:
+		var state wire.FeedState
+		if proto.Unmarshal(data, &state) == nil {
+			s.heard(ctx, now, &state, from)
+		}
+	}
+}
+
+// answer tells a follower how new the data are. A balancer without data stays silent.
+func (s *Service) answer(now time.Time, sequence uint64, to netip.AddrPort) {
+	summary, ok := s.options.Core.Summary()
+	if !ok {
+		return
+	}
+	s.send(&wire.FeedState{
+		Sequence:      sequence,
+		RoutesVersion: summary.RoutesVersion,
+		Epoch:         summary.Epoch,
+		Change:        summary.Change,
+		AgeMs:         uint32(max(now.Sub(summary.AsOf), 0).Milliseconds()),
+	}, kindState, to)
+}
+
+// heard takes the answer of the parent, and fetches what it shows to be newer.
+func (s *Service) heard(ctx context.Context, now time.Time, state *wire.FeedState, from netip.AddrPort) {
+	own, _ := s.options.Core.Summary()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from != s.parent.Address || state.GetSequence() != s.sequence || s.fetching {
+		return
+	}
+	parent := s.parent
+	asOf := now.Add(-time.Duration(state.GetAgeMs()) * time.Millisecond)
+	newRoutes := state.GetRoutesVersion() > own.RoutesVersion
+	if own.Readings != s.readings {
+		s.epoch, s.readings = 0, own.Readings
+	}
+	newTargets := state.GetEpoch() != s.epoch || state.GetChange() != s.change
+	if !newRoutes && !newTargets {
+		s.confirm(parent, asOf, own.RoutesVersion <= state.GetRoutesVersion())
+		return
+	}
+	s.fetching = true
+	go s.fetch(ctx, parent, asOf, newRoutes, newTargets)
+}
+
+// confirm notes that the data here are those of the parent. A parent with older
+// routes lags behind and is not relied on. The caller holds mu.
+func (s *Service) confirm(parent feed.Member, asOf time.Time, current bool) {
+	if !current {
+		return
+	}
+	s.follower.Heard(parent, asOf)
+	s.options.Core.Confirm(asOf)
+}
+
+// fetch reads what is newer at the parent.
+func (s *Service) fetch(ctx context.Context, parent feed.Member, asOf time.Time, routes, targets bool) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	client := wire.NewFeedProtobufClient("http://"+parent.Address.String(), s.client)
+	var err error
+	if routes {
+		err = s.fetchRoutes(ctx, client)
+	}
+	if targets && err == nil {
+		err = s.fetchTargets(ctx, client)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetching = false
+	if err != nil {
+		s.log(level.Warn, "fetch failed", "parent", parent.VM, "err", err)
+		return
+	}
+	s.confirm(parent, asOf, true)
+}
+
+func (s *Service) fetchRoutes(ctx context.Context, client wire.Feed) error {
+	response, err := client.Routes(ctx, &wire.FeedRoutesRequest{})
+	if err != nil {
+		return errors.Wrap(err, "routes")
+	}
+	set, err := decodeRoutes(response)
+	if err != nil {
+		return err
+	}
+	s.options.Core.SetRoutes(set)
+	return nil
+}
+
+func (s *Service) fetchTargets(ctx context.Context, client wire.Feed) error {
+	s.mu.Lock()
+	request := &wire.FeedTargetsRequest{Epoch: s.epoch, After: s.change}
+	s.mu.Unlock()
+	response, err := client.Targets(ctx, request)
+	if err != nil {
+		return errors.Wrap(err, "targets")
+	}
+	delta, err := decodeDelta(response)
+	if err != nil {
+		return err
+	}
+	if !s.options.Core.Apply(time.Now(), delta) {
+		return errors.New("the parent's reading is older than the one here")
+	}
+	s.mu.Lock()
+	s.epoch, s.change = delta.Epoch, delta.Change
+	s.mu.Unlock()
+	return nil
+}
+
+// followMembers registers this balancer and reads the list of members.
+func (s *Service) followMembers(ctx context.Context) {
+	for wait := membersFirst; ctx.Err() == nil; wait = membersInterval {
+		if err := s.readMembers(ctx); err != nil && ctx.Err() == nil {
+			s.log(level.Warn, "members not read", "err", err)
+			wait = membersRetry
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *Service) readMembers(ctx context.Context) error {
+	if err := s.options.Directory.Register(ctx, s.options.Self); err != nil {
+		return err
+	}
+	members, err := s.options.Directory.Members(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follower.SetMembers(members)
+	return nil
+}
+
+func (s *Service) log(at func(log.Logger) log.Logger, msg string, keyvals ...any) {
+	_ = at(s.options.Logger).Log(append([]any{"op", "feed", "msg", msg}, keyvals...)...) // the log stream is the only place to report to
+}
