--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
 )
 
 // Delta is what changed at the targets as one balancer sees them, for another one.
@@ -110,13 +112,67 @@
 	}
 }
 
-// Routes returns the routes in force.
-func (d *Dispatcher) Routes() RouteSet {
+// maxChangedRoutes bounds a delta to about 8 KB, so that a balancer with a slow
+// link can pass it on to all its followers without holding up packets.
+const maxChangedRoutes = 100
+
+// RoutesDelta is what changed between two versions of the routes.
+type RoutesDelta struct {
+	After       uint64
+	Version     uint64
+	IdleTimeout time.Duration
+	Changed     []*Route
+	Removed     []protocol.Endpoint
+}
+
+// RoutesDelta returns what changed after a version. ok is false when that is too
+// much, or when the version is older than the first one here.
+func (d *Dispatcher) RoutesDelta(after uint64) (delta RoutesDelta, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.routes
+	if after < t.first || after > t.version || t.first == 0 {
+		return RoutesDelta{}, false
+	}
+	delta = RoutesDelta{After: after, Version: t.version, IdleTimeout: t.idle}
+	for address, version := range t.changed {
+		if version <= after {
+			continue
+		}
+		if r := t.current[address]; r != nil {
+			delta.Changed = append(delta.Changed, r)
+		} else {
+			delta.Removed = append(delta.Removed, address)
+		}
+	}
+	return delta, len(delta.Changed)+len(delta.Removed) <= maxChangedRoutes
+}
+
+// ApplyRoutes puts a newer version in force that differs from the present one by
+// a delta. It reports false when the delta does not start at the present version.
+func (d *Dispatcher) ApplyRoutes(delta RoutesDelta) bool {
+	set, ok := d.changedSet(delta)
+	return ok && d.SetRoutes(set)
+}
+
+func (d *Dispatcher) changedSet(delta RoutesDelta) (RouteSet, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	set := RouteSet{Version: d.routes.version, IdleTimeout: d.routes.idle}
-	for _, r := range d.routes.current {
-		set.Routes = append(set.Routes, r)
+	if delta.After != d.routes.version {
+		return RouteSet{}, false
+	}
+	replaced := make(map[protocol.Endpoint]bool)
+	for _, r := range delta.Changed {
+		replaced[r.Address] = true
+	}
+	for _, address := range delta.Removed {
+		replaced[address] = true
+	}
+	set := RouteSet{Version: delta.Version, IdleTimeout: delta.IdleTimeout, Routes: delta.Changed}
+	for address, r := range d.routes.current {
+		if !replaced[address] {
+			set.Routes = append(set.Routes, r)
+		}
 	}
-	return set
+	return set, true
 }
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -36,8 +36,8 @@
 	targets *registry
 	flows   map[protocol.FlowKey]*flow
 	events  []Event
-	// aliveAt is the last sign of life of any target.
-	aliveAt time.Time
+	// answeredTo is when the latest packet was forwarded that a target has answered.
+	answeredTo time.Time
 	// readyC is closed once routes and targets are known.
 	readyC chan struct{}
 	// evidenceFrom is the time before which packets prove nothing, because the process did not run.
@@ -260,9 +260,10 @@
 		d.remove(p.Flow, f)
 		return forward
 	}
+	sent := f.sentAt
 	repeated := f.note(now, p)
 	if f.progressed {
-		d.alive(now, t)
+		d.alive(now, t, sent)
 	}
 	if repeated {
 		d.unanswered(now, f, t, f.sentAt)
@@ -279,19 +280,21 @@
 	return forward
 }
 
-// alive notes a sign of life of a target.
-func (d *Dispatcher) alive(now time.Time, t *Target) {
-	d.aliveAt = now
+// alive notes that a target answered a packet that was sent at a time.
+func (d *Dispatcher) alive(now time.Time, t *Target, sent time.Time) {
+	if sent.After(d.answeredTo) {
+		d.answeredTo = sent
+	}
 	if t.health.alive(now) {
 		d.events = append(d.events, Event{Kind: EventTargetAlive, Target: t})
 	}
 }
 
 // unanswered notes that a packet sent at a time was not answered. It says nothing
-// about the target when no other target showed life since: then the balancer's own
-// link may be down, or the process did not run.
+// about the target unless a packet that was sent later has been answered: otherwise
+// the balancer's own link may be down or its queue long, or the process did not run.
 func (d *Dispatcher) unanswered(now time.Time, f *flow, t *Target, sent time.Time) {
-	if sent.Before(d.evidenceFrom) || d.aliveAt.Before(sent) {
+	if sent.Before(d.evidenceFrom) || !d.answeredTo.After(sent) {
 		return
 	}
 	if now.Sub(sent) < repeatAge || now.Sub(f.struckAt) < repeatAge {
@@ -309,7 +312,7 @@
 	if p.Bytes == 0 || p.Fin {
 		return "", false
 	}
-	if t.health.dark(now) && now.Sub(d.aliveAt) < resetSilence {
+	if t.health.dark(now) {
 		return ReasonTargetSilent, true
 	}
 	if !t.gone.IsZero() && t.health.suspected() {
--- a/internal/coordination/dsr/health_test.go
+++ b/internal/coordination/dsr/health_test.go
@@ -34,6 +34,7 @@
 	c.request(100)
 	for range 2 {
 		b.wait(200 * time.Millisecond)
+		other.request(10)
 		other.answered(10)
 		if d := c.again(100); d.Action == ActionReset {
 			assert.Equal(t, d.Reason, ReasonTargetSilent)
@@ -64,6 +65,25 @@
 	assert.Equal(t, b.d.Gauges().Suspected, 0)
 }
 
+// Guards against resets of flows whose target lives, because packets wait for
+// long in the balancer's own link: answers that arrive meanwhile are to packets
+// sent before. A link that served eight large configurations at once did this.
+func TestLongQueueCondemnsNoTarget(t *testing.T) {
+	b := newBench(t, 3)
+	c := b.dial(0).open()
+	other := b.lively(c.target)
+	b.wait(time.Second)
+	other.request(10)
+	b.wait(10 * time.Millisecond)
+	c.request(100)
+	for range 3 {
+		b.wait(400 * time.Millisecond)
+		other.answered(1)
+		assert.Equal(t, c.again(100).Action, ActionForward)
+	}
+	assert.Assert(t, !c.target.health.suspected())
+}
+
 // Guards against evidence from before a freeze of the process.
 func TestFreezeDiscardsEvidence(t *testing.T) {
 	b := newBench(t, 3)
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
@@ -49,12 +50,17 @@
 	// services are the services that any version allowed on an address. Open
 	// flows stay at their target when the route moves to another service.
 	services map[protocol.Endpoint]map[string]bool
+	// first is the first version here, changed the version at which the route of an
+	// address last changed or was removed.
+	first   uint64
+	changed map[protocol.Endpoint]uint64
 }
 
 func newRouteTable() *routeTable {
 	return &routeTable{
 		current:  make(map[protocol.Endpoint]*Route),
 		services: make(map[protocol.Endpoint]map[string]bool),
+		changed:  make(map[protocol.Endpoint]uint64),
 	}
 }
 
@@ -65,18 +71,34 @@
 	}
 	former := t.current
 	t.version, t.idle = set.Version, set.IdleTimeout
+	if t.first == 0 {
+		t.first = set.Version
+	}
 	t.current = make(map[protocol.Endpoint]*Route, len(set.Routes))
 	for _, r := range set.Routes {
 		r.use = &routeUse{}
 		if old := former[r.Address]; old != nil {
 			r.use = old.use
 		}
+		if !r.equal(former[r.Address]) {
+			t.changed[r.Address] = set.Version
+		}
 		t.current[r.Address] = r
 		t.allow(r)
 	}
+	for address := range former {
+		if t.current[address] == nil {
+			t.changed[address] = set.Version
+		}
+	}
 	return true
 }
 
+// equal reports whether a route says the same as another one, which may be nil.
+func (r *Route) equal(other *Route) bool {
+	return other != nil && r.Name == other.Name && r.Timeout == other.Timeout && slices.Equal(r.Backends, other.Backends)
+}
+
 func (t *routeTable) allow(r *Route) {
 	allowed := t.services[r.Address]
 	if allowed == nil {
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -14,9 +14,13 @@
 // handler answers the requests of followers.
 type handler struct{ core *dsr.Dispatcher }
 
-// Routes returns the routes in force.
-func (h *handler) Routes(context.Context, *wire.FeedRoutesRequest) (*wire.FeedRoutesResponse, error) {
-	return encodeRoutes(h.core.Routes()), nil
+// Routes returns what changed after a version, or asks the follower to read the platform.
+func (h *handler) Routes(_ context.Context, r *wire.FeedRoutesRequest) (*wire.FeedRoutesResponse, error) {
+	delta, ok := h.core.RoutesDelta(r.GetAfterVersion())
+	if !ok {
+		return &wire.FeedRoutesResponse{ReadPlatform: true}, nil
+	}
+	return encodeRoutes(delta), nil
 }
 
 // Targets returns the targets that changed after a change of this process, or all.
@@ -24,9 +28,9 @@
 	return encodeDelta(h.core.Delta(r.GetEpoch(), r.GetAfter())), nil
 }
 
-func encodeRoutes(set dsr.RouteSet) *wire.FeedRoutesResponse {
-	response := &wire.FeedRoutesResponse{Version: set.Version, IdleTimeoutMs: set.IdleTimeout.Milliseconds()}
-	for _, r := range set.Routes {
+func encodeRoutes(d dsr.RoutesDelta) *wire.FeedRoutesResponse {
+	response := &wire.FeedRoutesResponse{Version: d.Version, IdleTimeoutMs: d.IdleTimeout.Milliseconds()}
+	for _, r := range d.Changed {
 		route := &wire.FeedRoute{
 			Name:      r.Name,
 			Ip:        r.Address.IP[:],
@@ -36,25 +40,35 @@
 		for _, b := range r.Backends {
 			route.Backends = append(route.Backends, &wire.FeedBackend{Service: b.Service, Weight: b.Weight})
 		}
-		response.Routes = append(response.Routes, route)
+		response.Changed = append(response.Changed, route)
+	}
+	for _, a := range d.Removed {
+		response.Removed = append(response.Removed, &wire.FeedRoute{Ip: a.IP[:], Port: uint32(a.Port)})
 	}
 	return response
 }
 
-func decodeRoutes(response *wire.FeedRoutesResponse) (dsr.RouteSet, error) {
-	set := dsr.RouteSet{Version: response.GetVersion(), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
-	for _, route := range response.GetRoutes() {
+func decodeRoutes(after uint64, response *wire.FeedRoutesResponse) (dsr.RoutesDelta, error) {
+	d := dsr.RoutesDelta{After: after, Version: response.GetVersion(), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
+	for _, route := range response.GetChanged() {
 		address, err := endpoint(route.GetIp(), route.GetPort())
 		if err != nil {
-			return dsr.RouteSet{}, errors.Wrapf(err, "route %s", route.GetName())
+			return dsr.RoutesDelta{}, errors.Wrapf(err, "route %s", route.GetName())
 		}
 		r := &dsr.Route{Name: route.GetName(), Address: address, Timeout: milliseconds(route.GetTimeoutMs())}
 		for _, b := range route.GetBackends() {
 			r.Backends = append(r.Backends, dsr.Backend{Service: b.GetService(), Weight: b.GetWeight()})
 		}
-		set.Routes = append(set.Routes, r)
+		d.Changed = append(d.Changed, r)
 	}
-	return set, nil
+	for _, route := range response.GetRemoved() {
+		address, err := endpoint(route.GetIp(), route.GetPort())
+		if err != nil {
+			return dsr.RoutesDelta{}, errors.Wrap(err, "removed route")
+		}
+		d.Removed = append(d.Removed, address)
+	}
+	return d, nil
 }
 
 func encodeDelta(d dsr.Delta) *wire.FeedTargetsResponse {
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -58,7 +58,9 @@
 	Bound     time.Duration
 	Core      *dsr.Dispatcher
 	Directory Directory
-	Logger    log.Logger
+	// ReadRoutes reads the routes from the platform.
+	ReadRoutes func(ctx context.Context) error
+	Logger     log.Logger
 }
 
 // Service follows a parent and serves followers.
@@ -281,15 +283,21 @@
 }
 
 func (s *Service) fetchRoutes(ctx context.Context, client wire.Feed) error {
-	response, err := client.Routes(ctx, &wire.FeedRoutesRequest{})
+	own, _ := s.options.Core.Summary()
+	response, err := client.Routes(ctx, &wire.FeedRoutesRequest{AfterVersion: own.RoutesVersion})
 	if err != nil {
 		return errors.Wrap(err, "routes")
 	}
-	set, err := decodeRoutes(response)
+	if response.GetReadPlatform() {
+		return s.options.ReadRoutes(ctx)
+	}
+	delta, err := decodeRoutes(own.RoutesVersion, response)
 	if err != nil {
 		return err
 	}
-	s.options.Core.SetRoutes(set)
+	if !s.options.Core.ApplyRoutes(delta) {
+		return errors.New("the routes changed here meanwhile")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/transport/feed/feed_test.go
@@ -0,0 +1,204 @@
+package feed
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+// list is a directory in memory.
+type list struct {
+	mu      sync.Mutex
+	members []feed.Member
+	// version is the version of the routes that the platform has.
+	version atomic.Uint64
+	// routeReads counts the readings of the routes that a parent asked for.
+	routeReads atomic.Int64
+}
+
+func (l *list) Register(_ context.Context, m feed.Member) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Contains(l.members, m) {
+		l.members = append(l.members, m)
+	}
+	return nil
+}
+
+func (l *list) Members(context.Context) ([]feed.Member, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.members), nil
+}
+
+// node is a balancer with its feed, without packets.
+type node struct {
+	core    *dsr.Dispatcher
+	service *Service
+	stop    context.CancelFunc
+}
+
+// startNode starts a node whose sockets are on loopback.
+func startNode(t *testing.T, vm string, directory *list) *node {
+	core := dsr.NewDispatcher(dsr.Options{Place: "a", FlowLife: time.Minute})
+	n := &node{core: core}
+	service, err := New(Options{
+		Self:      feed.Member{VM: vm, Address: netip.MustParseAddrPort("127.0.0.1:0")},
+		Bound:     3 * time.Second,
+		Core:      core,
+		Directory: directory,
+		ReadRoutes: func(context.Context) error {
+			directory.routeReads.Add(1)
+			n.setRoutes(directory.version.Load())
+			return nil
+		},
+		Logger: log.NewNopLogger(),
+	})
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); service.Run(ctx) }()
+	n.service, n.stop = service, func() { stop(); <-done }
+	t.Cleanup(n.stop)
+	return n
+}
+
+// setRoutes gives a node a version of the routes.
+func (n *node) setRoutes(version uint64) {
+	n.core.SetRoutes(dsr.RouteSet{Version: version, IdleTimeout: 7 * time.Second, Routes: []*dsr.Route{{
+		Name: "r", Address: protocol.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}, Timeout: time.Second,
+		Backends: []dsr.Backend{{Service: "web", Weight: 1}},
+	}}})
+}
+
+// read gives a node a reading of the platform.
+func (n *node) read(version, revision uint64, ids ...string) {
+	n.setRoutes(version)
+	l := dsr.Listing{Revision: revision}
+	for i, id := range ids {
+		l.Targets = append(l.Targets, dsr.Announcement{ID: id, Incarnation: 7, Service: "web", Slots: 2, Revision: 1,
+			Place: "a", Endpoint: protocol.Endpoint{IP: [4]byte{10, 0, 0, byte(i)}, Port: 80}})
+	}
+	n.core.Observe(time.Now(), l)
+}
+
+// keepFresh repeats a reading of the platform until the test ends or stop is called.
+func (n *node) keepFresh(t *testing.T, read func()) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			read()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
+}
+
+// until waits for a condition. The limit only ends a test that fails.
+func until(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if met() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(60*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// pair starts two nodes and returns the one that reads, and its follower.
+func pair(t *testing.T) (root, child *node, directory *list) {
+	directory = &list{}
+	directory.version.Store(3)
+	a, b := startNode(t, "vm-1", directory), startNode(t, "vm-2", directory)
+	until(t, "one node with a parent", func() bool {
+		for _, n := range []*node{a, b} {
+			n.service.mu.Lock()
+			found := n.service.parent.VM != ""
+			n.service.mu.Unlock()
+			if found {
+				child = n
+			}
+		}
+		return child != nil
+	})
+	root = a
+	if child == a {
+		root = b
+	}
+	return root, child, directory
+}
+
+// Guards against a follower that misses routes or targets of its parent, and
+// against calls to the platform that grow with the number of balancers.
+func TestFollowerTakesRoutesAndTargets(t *testing.T) {
+	root, child, directory := pair(t)
+	assert.Assert(t, child.service.Reads() && root.service.Reads())
+	var mu sync.Mutex
+	version, ids := uint64(3), []string{"i-1", "i-2"}
+	revision := uint64(10)
+	root.keepFresh(t, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		revision++
+		root.read(version, revision, ids...)
+	})
+	until(t, "a follower that reads no more", func() bool { return !child.service.Reads() })
+	assert.Assert(t, root.service.Reads())
+	assert.Equal(t, child.core.Gauges().Targets, 2)
+	assert.Equal(t, child.core.Gauges().RoutesVersion, uint64(3))
+	assert.Equal(t, directory.routeReads.Load(), int64(1), "a follower without routes reads them")
+	mu.Lock()
+	version, ids = 4, []string{"i-1", "i-2", "i-3"}
+	mu.Unlock()
+	until(t, "the change at the follower", func() bool {
+		g := child.core.Gauges()
+		return g.Targets == 3 && g.RoutesVersion == 4
+	})
+	assert.Equal(t, directory.routeReads.Load(), int64(1), "a small change comes from the parent")
+	mu.Lock()
+	ids = ids[1:]
+	mu.Unlock()
+	until(t, "the end of a target at the follower", func() bool { return child.core.Gauges().Targets == 2 })
+}
+
+// Guards against a follower that goes on with old data when its parent no longer
+// reads, or is gone.
+func TestFollowerOfSilentParentReads(t *testing.T) {
+	root, child, _ := pair(t)
+	stop := root.keepFresh(t, func() { root.read(3, 10, "i-1") })
+	until(t, "a follower that reads no more", func() bool { return !child.service.Reads() })
+	stop()
+	until(t, "a follower that reads again", func() bool { return child.service.Reads() })
+	stop = root.keepFresh(t, func() { root.read(3, 11, "i-1") })
+	until(t, "a follower that reads no more", func() bool { return !child.service.Reads() })
+	stop()
+	root.stop()
+	until(t, "a follower that reads again", func() bool { return child.service.Reads() })
+}
+
+// Guards against datagrams of anyone that stop the service or pass for those of the parent.
+func TestForeignDatagramsAreIgnored(t *testing.T) {
+	_, child, _ := pair(t)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	for _, data := range [][]byte{nil, {0xff}, {0x08}, {0x08, 0x01, 0x10, 0x7f}} {
+		child.service.handle(context.Background(), time.Now(), kindState, data, from)
+		child.service.handle(context.Background(), time.Now(), 'x', data, from)
+	}
+	assert.Assert(t, child.service.Reads())
+}
