--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -26,7 +26,7 @@
 	// within which a change must be in force. The rest is for reading by oneself.
 	limitShare = 0.55
 	// probesPerLimit is how many probes fit into the limit, so that several may be lost.
-	probesPerLimit = 8
+	probesPerLimit = 6
 	// membersInterval is the pause between two readings of the list of members. A
 	// balancer that is missing from a list reads the platform until the next one.
 	membersInterval = 10 * time.Second
