--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -22,16 +22,18 @@
 		short: "run a balancer",
 		long: "Runs one balancer of the fleet until SIGTERM, then leaves: it announces the leave, hands over flows, and forwards until the fabric sends no more packets. " +
 			"A second SIGTERM stops at once. Log lines go to standard error as JSON. " +
+			"Without --config, it runs on the users' platform with the settings file that KUMQUATWORKS_SETTINGS names, and log lines go to standard output. " +
 			"Example: kumquatworks balancer --config /etc/kumquatworks/balancer.json",
 		build: func(s Streams) flags.Commander { return &balancerCommand{streams: s} },
 	})
 }
 
 type balancerCommand struct {
-	Config      string `long:"config" value-name:"FILE" description:"settings file (JSON); timers are in milliseconds"`
-	Check       bool   `long:"check" description:"check the settings file and exit"`
-	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" description:"on the users' platform: port for counters and latencies under /debug/vars"`
-	LogLevel    string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"on the users' platform: lowest level of log lines"`
+	Config      string  `long:"config" value-name:"FILE" description:"settings file (JSON); timers are in milliseconds"`
+	Check       bool    `long:"check" description:"check the settings file and exit"`
+	MetricsPort uint16  `long:"metrics-port" value-name:"PORT" description:"on the users' platform: port for counters and latencies under /debug/vars"`
+	TraceShare  float64 `long:"trace-share" value-name:"SHARE" description:"on the users' platform: share of all flows, 0 to 1, whose packets write spans to the log stream"`
+	LogLevel    string  `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"on the users' platform: lowest level of log lines"`
 
 	streams Streams
 }
@@ -59,6 +61,9 @@
 
 // onPlatform runs or checks a balancer with the settings of the users' platform.
 func (c *balancerCommand) onPlatform() error {
+	if c.TraceShare < 0 || c.TraceShare > 1 {
+		return usageError("--trace-share: takes a number from 0 to 1")
+	}
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return usageError("--config is required unless %s names the settings of the platform", platform.SettingsVariable)
@@ -73,7 +78,7 @@
 	}
 	ctx, stop := untilStopped()
 	defer stop()
-	return platform.Run(ctx, path, platform.Options{MetricsPort: c.MetricsPort, LogLevel: c.LogLevel}, c.streams.Out)
+	return platform.Run(ctx, path, platform.Options{MetricsPort: c.MetricsPort, LogLevel: c.LogLevel, TraceShare: c.TraceShare}, c.streams.Out)
 }
 
 // untilStopped returns a context that ends with the first signal. A second signal ends the process.
--- a/internal/cli/balancer_test.go
+++ b/internal/cli/balancer_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/platform"
 )
 
 // Guards against a check that passes settings with which the balancer does not start, or names one fault at a time.
@@ -31,3 +33,24 @@
 	var out bytes.Buffer
 	assert.Equal(t, Main([]string{"balancer"}, &out, &out), ExitUsage)
 }
+
+// Guards against a balancer that does not say which settings it lacks on the users' platform.
+func TestBalancerCheckOnPlatform(t *testing.T) {
+	check := func(file string, args ...string) (int, string) {
+		t.Setenv(platform.SettingsVariable, file)
+		var out, errOut bytes.Buffer
+		code := Main(append([]string{"balancer", "--check"}, args...), &out, &errOut)
+		return code, out.String() + errOut.String()
+	}
+	const good = "../../platform/testdata/settings.json"
+	code, text := check(good)
+	assert.Equal(t, code, ExitDone, text)
+	assert.Assert(t, strings.Contains(text, "vm front-1, place pl-a"), text)
+	empty := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(empty, []byte("{}"), 0o600))
+	code, text = check(empty)
+	assert.Equal(t, code, ExitFailed)
+	assert.Assert(t, strings.Contains(text, "is missing; expected"), text)
+	code, _ = check(good, "--trace-share", "2")
+	assert.Equal(t, code, ExitUsage)
+}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -260,11 +260,14 @@
 		d.remove(p.Flow, f)
 		return forward
 	}
-	sent := f.sentAt
+	sent, from, running := f.sentAt, f.runningFrom, f.running
 	repeated := f.note(now, p)
 	if f.progressed {
 		d.alive(now, t, sent)
 	}
+	if running && f.answered {
+		forward.Answered = now.Sub(from)
+	}
 	if repeated {
 		d.unanswered(now, f, t, f.sentAt)
 	}
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -44,8 +44,10 @@
 	acked       uint32
 	running     bool
 	runningFrom time.Time
-	// progressed is set by note when the packet proves that the target answered.
+	// progressed is set by note when the packet proves that the target lives,
+	// answered when it acknowledges an answer.
 	progressed bool
+	answered   bool
 }
 
 // open adds a flow for an opener that is forwarded.
@@ -145,13 +147,13 @@
 // note takes the sequence numbers of a packet. It reports whether the packet
 // repeats bytes that the caller sent before.
 func (f *flow) note(now time.Time, p Packet) (repeated bool) {
-	f.progressed = false
+	f.progressed, f.answered = false, false
 	switch {
 	case !f.confirmed:
 		f.confirmed, f.progressed = true, true
 		f.acked = p.Ack
 	case after(p.Ack, f.acked):
-		f.acked, f.progressed = p.Ack, true
+		f.acked, f.progressed, f.answered = p.Ack, true, true
 		f.finish()
 	}
 	end := p.end()
--- a/internal/coordination/dsr/packet.go
+++ b/internal/coordination/dsr/packet.go
@@ -97,6 +97,8 @@
 	// Running is the number of requests in progress at the target before an opener
 	// was admitted, as this balancer counts them.
 	Running int
+	// Answered is how long a request took whose answer the packet acknowledges; 0 for none.
+	Answered time.Duration
 	// Version is the version of the routes, ListingAge the age of the reading of the targets that decided.
 	Version    uint64
 	ListingAge time.Duration
--- /dev/null
+++ b/internal/telemetry/histogram.go
@@ -0,0 +1,54 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// Latencies are kept in microseconds, up to a minute, with two digits.
+	lowestLatency  = 1
+	highestLatency = int64(time.Minute / time.Microsecond)
+	latencyDigits  = 2
+)
+
+// Histogram holds latencies. It is an expvar variable in microseconds.
+type Histogram struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram {
+	return &Histogram{values: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)}
+}
+
+// Record notes a latency; longer ones than a minute count as a minute.
+func (h *Histogram) Record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	value := min(max(d.Microseconds(), 0), highestLatency)
+	if err := h.values.RecordValue(value); err != nil {
+		panic(err) // the value is within the bounds of the histogram
+	}
+}
+
+// String returns count, percentiles and maximum as JSON, for expvar.
+func (h *Histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	text, err := json.Marshal(map[string]int64{
+		"count": h.values.TotalCount(),
+		"p50":   h.values.ValueAtQuantile(50),
+		"p90":   h.values.ValueAtQuantile(90),
+		"p99":   h.values.ValueAtQuantile(99),
+		"max":   h.values.Max(),
+	})
+	if err != nil {
+		panic(err) // a map of numbers can be encoded
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/telemetry/histogram_test.go
@@ -0,0 +1,23 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against latencies beyond the range of the histogram, which would be
+// lost or stop the process.
+func TestHistogramTakesAnyLatency(t *testing.T) {
+	h := NewHistogram()
+	for _, d := range []time.Duration{-time.Second, 0, time.Millisecond, time.Hour} {
+		h.Record(d)
+	}
+	var got map[string]int64
+	assert.NilError(t, json.Unmarshal([]byte(h.String()), &got))
+	assert.Equal(t, got["count"], int64(4))
+	assert.Assert(t, got["max"] >= time.Minute.Microseconds())
+	assert.Assert(t, got["p50"] <= 1000)
+}
--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
+	"github.com/kumquatworks/kumquatworks/internal/telemetry"
 )
 
 const (
@@ -72,6 +73,8 @@
 	Codec  Codec
 	Core   *dsr.Dispatcher
 	Logger log.Logger
+	// Tracer writes a span for each packet of the flows that it samples; nil for none.
+	Tracer *telemetry.Tracer
 }
 
 // Node is a running balancer.
@@ -115,7 +118,7 @@
 		options: o,
 		conn:    conn,
 		ready:   ready,
-		stats:   newStats(o.Core),
+		stats:   newStats(),
 		started: time.Now(),
 		out:     make([]byte, 0, maxDatagramBytes),
 	}, nil
@@ -276,7 +279,20 @@
 		n.log(level.Error, "send", "datagram", "flow", p.Flow.Caller, "service", p.Flow.Service, "err", sent)
 	}
 	n.logDecision(p, d)
-	n.stats.handled(time.Since(now))
+	n.stats.handling.Record(time.Since(now))
+	n.trace(now, p, d)
+}
+
+// trace writes the span of a packet.
+func (n *Node) trace(start time.Time, p dsr.Packet, d dsr.Decision) {
+	if !n.options.Tracer.Sampled(p.Flow) {
+		return
+	}
+	hop := telemetry.Hop{Flow: p.Flow, Start: start, End: time.Now(), Action: d.Action.String(), Reason: string(d.Reason)}
+	if d.Action == dsr.ActionForward {
+		hop.Target = d.Target.Endpoint
+	}
+	n.options.Tracer.Record(hop)
 }
 
 func (n *Node) send(to protocol.Endpoint) error {
--- a/internal/transport/direct/stats.go
+++ b/internal/transport/direct/stats.go
@@ -2,49 +2,34 @@
 
 import (
 	"expvar"
-	"sync"
-	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/telemetry"
 )
 
-const (
-	// Latencies are kept in microseconds, up to ten seconds, with two digits.
-	lowestLatency  = 1
-	highestLatency = int64(10 * time.Second / time.Microsecond)
-	latencyDigits  = 2
-)
-
 // stats are the counters and latency histograms of a node.
 type stats struct {
 	counters *telemetry.CounterSet
-	core     *dsr.Dispatcher
-
-	mu       sync.Mutex
-	handling *hdrhistogram.Histogram
+	// handling is from the receipt of a datagram until it was sent on, answer from
+	// a request until the caller acknowledges its answer.
+	handling *telemetry.Histogram
+	answer   *telemetry.Histogram
 }
 
-func newStats(core *dsr.Dispatcher) *stats {
+func newStats() *stats {
 	return &stats{
 		counters: telemetry.NewCounterSet(),
-		core:     core,
-		handling: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		handling: telemetry.NewHistogram(),
+		answer:   telemetry.NewHistogram(),
 	}
 }
 
 func (s *stats) count(group, name string) { s.counters.Add(group, name, 1) }
 
-func (s *stats) decided(d dsr.Decision) { s.count(d.Action.String(), string(d.Reason)) }
-
-// handled notes how long a datagram took from its receipt until it was sent on.
-func (s *stats) handled(took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.handling.RecordValue(min(took.Microseconds(), highestLatency)); err != nil {
-		s.counters.Add("handling", "not-recorded", 1)
+func (s *stats) decided(d dsr.Decision) {
+	s.count(d.Action.String(), string(d.Reason))
+	if d.Answered > 0 {
+		s.answer.Record(d.Answered)
 	}
 }
 
@@ -52,22 +37,8 @@
 func (n *Node) Vars() *expvar.Map {
 	vars := new(expvar.Map)
 	vars.Set("packets", n.stats.counters)
-	vars.Set("state", expvar.Func(func() any { return n.stats.core.Gauges() }))
-	vars.Set("handling_us", expvar.Func(func() any {
-		n.stats.mu.Lock()
-		defer n.stats.mu.Unlock()
-		return percentiles(n.stats.handling)
-	}))
+	vars.Set("state", expvar.Func(func() any { return n.options.Core.Gauges() }))
+	vars.Set("handling_us", n.stats.handling)
+	vars.Set("answer_us", n.stats.answer)
 	return vars
 }
-
-// percentiles describes a histogram in microseconds.
-func percentiles(h *hdrhistogram.Histogram) map[string]int64 {
-	return map[string]int64{
-		"count": h.TotalCount(),
-		"p50":   h.ValueAtQuantile(50),
-		"p90":   h.ValueAtQuantile(90),
-		"p99":   h.ValueAtQuantile(99),
-		"max":   h.Max(),
-	}
-}
