--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -318,7 +318,7 @@
 	if t.health.dark(now) {
 		return ReasonTargetSilent, true
 	}
-	if !t.gone.IsZero() && t.health.suspected() {
+	if !t.gone.IsZero() && t.health.struck(now) {
 		return ReasonTargetGone, true
 	}
 	return "", false
--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -10,6 +10,10 @@
 	// strikesToReset is the number of unanswered packets in a row after which open
 	// flows of a target are reset. A single one may be a lost packet.
 	strikesToReset = 2
+	// strikeMemory is how long an unanswered packet counts. The third and the fourth
+	// copy of a packet are 800 ms apart; without a bound, two lost packets of a target
+	// that this balancer rarely sees would count together however far apart they are.
+	strikeMemory = 1200 * time.Millisecond
 	// repeatAge is the least age of a packet that a caller sends again. Callers send
 	// again after 200 ms; a copy that follows sooner arrived out of order.
 	repeatAge = 150 * time.Millisecond
@@ -36,8 +40,10 @@
 	// aliveAt is the last sign of life.
 	aliveAt time.Time
 	// strikes are the unanswered packets since then, struckAt the time of the last one.
-	strikes     int
-	struckAt    time.Time
+	strikes  int
+	struckAt time.Time
+	// dead is set when strikesToReset packets in a row were left unanswered.
+	dead        bool
 	suspectedAt time.Time
 	trialAt     time.Time
 	// beats are the heartbeats since the suspicion.
@@ -56,6 +62,9 @@
 	if h.suspected() {
 		h.beats++
 	}
+	if h.beats >= trialBeats {
+		h.dead = false
+	}
 }
 
 func (h *health) suspected() bool { return !h.suspectedAt.IsZero() }
@@ -66,8 +75,12 @@
 	if !h.aliveAt.Before(sent) {
 		return false
 	}
+	if !h.struck(now) {
+		h.strikes = 0
+	}
 	h.strikes++
 	h.struckAt = now
+	h.dead = h.dead || h.strikes >= strikesToReset
 	if h.suspected() {
 		h.beats = 0
 		return false
@@ -84,9 +97,14 @@
 	return h.beats >= trialBeats || now.Sub(h.struckAt) >= trialPause
 }
 
+// struck reports whether a packet was left unanswered lately.
+func (h *health) struck(now time.Time) bool {
+	return h.strikes > 0 && now.Sub(h.struckAt) <= strikeMemory
+}
+
 // dark reports whether open flows of the target may be reset.
 func (h *health) dark(now time.Time) bool {
-	return h.suspected() && h.strikes >= strikesToReset && now.Sub(h.aliveAt) >= resetSilence
+	return h.dead && now.Sub(h.aliveAt) >= resetSilence
 }
 
 // silence describes the evidence.
--- a/internal/coordination/dsr/health_test.go
+++ b/internal/coordination/dsr/health_test.go
@@ -44,6 +44,28 @@
 	t.Fatal("the flow was not reset after two unanswered packets")
 }
 
+// Guards against callers that wait on idle flows of a target that is known to be dead.
+func TestIdleFlowOfDeadTargetIsResetAtOnce(t *testing.T) {
+	b := newBench(t, 3)
+	c, idle := b.dial(0).open(), b.dial(0)
+	for idle.opener().Target != c.target {
+		idle = b.dial(0)
+	}
+	idle.seq, idle.ack = idle.seq+1, 5001
+	idle.packet(idle.seq, 0)
+	other := b.lively(c.target)
+	b.wait(time.Second)
+	c.request(100)
+	for range 2 {
+		b.wait(250 * time.Millisecond)
+		other.request(10)
+		other.answered(10)
+		c.again(100)
+	}
+	b.wait(5 * time.Second)
+	assert.Equal(t, idle.request(10).Reason, ReasonTargetSilent)
+}
+
 // Guards against resets of flows whose target lives, because the balancer's own
 // link or the process stood still: then no target shows a sign of life.
 func TestOwnSilenceCondemnsNoTarget(t *testing.T) {
@@ -84,6 +106,31 @@
 	assert.Assert(t, !c.target.health.suspected())
 }
 
+// Guards against resets of flows whose target lives, because of two lost packets
+// that are far apart: a balancer of a large fleet sees few packets of one target.
+func TestOldLossesDoNotAddUp(t *testing.T) {
+	b := newBench(t, 3)
+	first, second := b.dial(0).open(), b.dial(0)
+	for second.opener().Target != first.target {
+		second = b.dial(0)
+	}
+	second.seq, second.ack = second.seq+1, 5001
+	second.packet(second.seq, 0)
+	other := b.lively(first.target)
+	b.wait(time.Second)
+	for _, c := range []*call{first, second} {
+		c.request(100)
+		b.wait(200 * time.Millisecond)
+		other.request(10)
+		other.answered(10)
+		assert.Equal(t, c.again(100).Action, ActionForward)
+		b.wait(5 * time.Second)
+		other.request(10)
+		other.answered(10)
+	}
+	assert.Equal(t, first.request(100).Action, ActionForward)
+}
+
 // Guards against evidence from before a freeze of the process.
 func TestFreezeDiscardsEvidence(t *testing.T) {
 	b := newBench(t, 3)
