--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -20,10 +20,7 @@
 	// resetSilence is the shortest silence of a target before its flows are reset:
 	// the 200 ms after which callers send again, less an allowance for late timers.
 	resetSilence = 180 * time.Millisecond
-	// trialBeats is the number of heartbeats after a suspicion that show that the
-	// target lives. The first one may have been written before, and read late.
-	trialBeats = 2
-	// trialPause is how long a suspected target without heartbeats gets no flow.
+	// trialPause is how long a suspected target gets no flow.
 	trialPause = 4 * time.Second
 	// trialGap is the pause between two trial flows of a suspected target.
 	trialGap = time.Second
@@ -46,8 +43,6 @@
 	dead        bool
 	suspectedAt time.Time
 	trialAt     time.Time
-	// beats are the heartbeats since the suspicion.
-	beats int
 }
 
 // alive notes a sign of life and reports whether it ended a suspicion.
@@ -57,16 +52,6 @@
 	return ended
 }
 
-// heard notes a heartbeat in the store.
-func (h *health) heard() {
-	if h.suspected() {
-		h.beats++
-	}
-	if h.beats >= trialBeats {
-		h.dead = false
-	}
-}
-
 func (h *health) suspected() bool { return !h.suspectedAt.IsZero() }
 
 // strike notes that a packet sent at a time was not answered. It reports whether
@@ -82,7 +67,6 @@
 	h.struckAt = now
 	h.dead = h.dead || h.strikes >= strikesToReset
 	if h.suspected() {
-		h.beats = 0
 		return false
 	}
 	h.suspectedAt = now
@@ -94,7 +78,7 @@
 	if now.Sub(h.trialAt) < trialGap {
 		return false
 	}
-	return h.beats >= trialBeats || now.Sub(h.struckAt) >= trialPause
+	return now.Sub(h.struckAt) >= trialPause
 }
 
 // struck reports whether a packet was left unanswered lately.
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -26,8 +26,6 @@
 	Draining bool
 	// ColdFor is how much longer the target is slow after its start.
 	ColdFor time.Duration
-	// Beat changes with each heartbeat.
-	Beat int64
 	// Created and Revision are the store's revisions of the entry's creation and last change.
 	Created  uint64
 	Revision uint64
@@ -194,8 +192,7 @@
 		}
 		events = append(events, Event{Kind: kind, Target: t, Revision: a.Revision})
 	}
-	if a.Beat != t.Beat {
-		t.health.heard()
+	if a.Revision != t.Revision {
 		t.coldUntil = now.Add(a.ColdFor)
 	}
 	t.absentSince = time.Time{}
@@ -209,12 +206,12 @@
 	t.changed = g.change
 }
 
-// differs reports whether an announcement tells more than another heartbeat.
+// differs reports whether an announcement tells something new.
 func (g *registry) differs(t *Target, a Announcement) bool {
 	if !t.gone.IsZero() {
 		return true
 	}
-	a.Beat, a.Revision, a.ColdFor = t.Beat, t.Revision, t.ColdFor
+	a.Revision, a.ColdFor = t.Revision, t.ColdFor
 	return a != t.Announcement
 }
 
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -91,7 +91,6 @@
 			Slots:       uint32(a.Slots),
 			Draining:    a.Draining,
 			ColdForMs:   a.ColdFor.Milliseconds(),
-			Beat:        a.Beat,
 			Created:     a.Created,
 			Revision:    a.Revision,
 		})
@@ -122,7 +121,6 @@
 			Slots:       int(t.GetSlots()),
 			Draining:    t.GetDraining(),
 			ColdFor:     milliseconds(t.GetColdForMs()),
-			Beat:        t.GetBeat(),
 			Created:     t.GetCreated(),
 			Revision:    t.GetRevision(),
 		})
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -24,9 +24,9 @@
 const (
 	// limitShare is the age from which data are too old, as a share of the time
 	// within which a change must be in force. The rest is for reading by oneself.
-	limitShare = 0.55
+	limitShare = 0.8
 	// probesPerLimit is how many probes fit into the limit, so that several may be lost.
-	probesPerLimit = 6
+	probesPerLimit = 7
 	// membersInterval is the pause between two readings of the list of members. A
 	// balancer that is missing from a list reads the platform until the next one.
 	membersInterval = 10 * time.Second
