Hand out copies of targets, so that a packet never sees an entry that changes

The shell read the entry of a target outside the lock while a reading of the store could replace it. The new test shows the data race on the former code.

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -124,6 +124,11 @@
 	defer d.mu.Unlock()
 	events := d.events
 	d.events = nil
+	for i := range events {
+		if t := events[i].target; t != nil {
+			events[i].About = t.Announcement
+		}
+	}
 	return events
 }
 
@@ -163,6 +168,9 @@
 	decision := decide(now, p)
 	decision.Version = d.routes.version
 	decision.ListingAge = now.Sub(d.targets.listedAt)
+	if t := decision.target; t != nil {
+		decision.To, decision.Token = t.Announcement, t.Token
+	}
 	return decision
 }
 
@@ -177,7 +185,7 @@
 	}
 	f := d.flows[p.Flow]
 	if f != nil && f.openerSeq == p.Seq && f.confirmed {
-		return Decision{Action: ActionForward, Reason: ReasonRepeated, Target: f.target, Route: route}
+		return Decision{Action: ActionForward, Reason: ReasonRepeated, target: f.target, Route: route}
 	}
 	if f != nil && f.openerSeq == p.Seq {
 		return d.repeated(now, p, route, f)
@@ -196,7 +204,7 @@
 	}
 	running := t.running
 	d.open(now, p, route, t)
-	return Decision{Action: ActionForward, Reason: ReasonAdmitted, Target: t, Route: route, Running: running}
+	return Decision{Action: ActionForward, Reason: ReasonAdmitted, target: t, Route: route, Running: running}
 }
 
 // repeated decides about a copy of an opener that this balancer has seen before.
@@ -207,7 +215,7 @@
 	d.unanswered(now, f, f.target, f.openedAt)
 	silence := f.target.health.silence(now)
 	if f.target.usable() && !f.target.health.suspected() {
-		return Decision{Action: ActionForward, Reason: ReasonRepeated, Target: f.target, Route: route, Silence: silence}
+		return Decision{Action: ActionForward, Reason: ReasonRepeated, target: f.target, Route: route, Silence: silence}
 	}
 	f.tried = append(f.tried, f.target)
 	t := d.choose(now, route, state.FlowHash(p.Flow), f.tried)
@@ -215,10 +223,10 @@
 		return Decision{Reason: ReasonNoOtherTarget, Route: route}
 	}
 	if t == nil {
-		return Decision{Action: ActionForward, Reason: ReasonRepeated, Target: f.target, Route: route, Silence: silence}
+		return Decision{Action: ActionForward, Reason: ReasonRepeated, target: f.target, Route: route, Silence: silence}
 	}
 	f.move(t)
-	return Decision{Action: ActionForward, Reason: ReasonRetried, Target: t, Route: route, Silence: silence}
+	return Decision{Action: ActionForward, Reason: ReasonRetried, target: t, Route: route, Silence: silence}
 }
 
 // established decides about a packet of a flow whose opener was answered.
@@ -247,7 +255,7 @@
 
 // follow notes what a packet tells about its target, and resets the flow when the target is dead.
 func (d *Dispatcher) follow(now time.Time, p Packet, route *Route, t *Target, f *flow) Decision {
-	forward := Decision{Action: ActionForward, Reason: ReasonToken, Target: t, Route: route}
+	forward := Decision{Action: ActionForward, Reason: ReasonToken, target: t, Route: route}
 	if f == nil || f.refused {
 		f = d.join(now, p, route, t)
 	}
@@ -274,7 +282,7 @@
 	if reason, reset := d.dead(now, t, f, p); reset {
 		silence := t.health.silence(now)
 		d.remove(p.Flow, f)
-		return Decision{Action: ActionReset, Reason: reason, Target: t, Route: route, Silence: silence}
+		return Decision{Action: ActionReset, Reason: reason, target: t, Route: route, Silence: silence}
 	}
 	if p.Fin {
 		f.finish()
@@ -289,7 +297,7 @@
 		d.answeredTo = sent
 	}
 	if t.health.alive(now) {
-		d.events = append(d.events, Event{Kind: EventTargetAlive, Target: t})
+		d.events = append(d.events, Event{Kind: EventTargetAlive, target: t})
 	}
 }
 
@@ -305,7 +313,7 @@
 	}
 	f.struckAt = now
 	if t.health.strike(now, sent) {
-		d.events = append(d.events, Event{Kind: EventTargetSuspected, Target: t, Silence: t.health.silence(now)})
+		d.events = append(d.events, Event{Kind: EventTargetSuspected, target: t, Silence: t.health.silence(now)})
 	}
 }
 
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -19,10 +19,13 @@
 
 // Event is one change of belief with the version of the data behind it.
 type Event struct {
-	Kind   EventKind
-	Target *Target
+	Kind EventKind
+	// About is the target of the event as it is announced; its ID is empty without one.
+	About Announcement
 	// Revision is the store's revision, or the version of the routes.
 	Revision uint64
 	// Silence is set for events about a silent target.
 	Silence Silence
+
+	target *Target
 }
--- a/internal/coordination/dsr/harness_test.go
+++ b/internal/coordination/dsr/harness_test.go
@@ -115,7 +115,7 @@
 	d := c.b.d.Handle(c.b.now, Packet{Flow: c.flow, Opener: true, Copy: c.copies, Seq: c.seq})
 	c.copies++
 	if d.Action == ActionForward {
-		c.target = d.Target
+		c.target = d.target
 	}
 	return d
 }
@@ -166,7 +166,7 @@
 func (b *bench) lively(other *Target) *call {
 	for range 100 {
 		c := b.dial(0)
-		if c.opener().Target != other {
+		if c.opener().target != other {
 			c.seq++
 			c.ack = 5001
 			c.packet(c.seq, 0)
--- a/internal/coordination/dsr/health_test.go
+++ b/internal/coordination/dsr/health_test.go
@@ -48,7 +48,7 @@
 func TestIdleFlowOfDeadTargetIsResetAtOnce(t *testing.T) {
 	b := newBench(t, 3)
 	c, idle := b.dial(0).open(), b.dial(0)
-	for idle.opener().Target != c.target {
+	for idle.opener().target != c.target {
 		idle = b.dial(0)
 	}
 	idle.seq, idle.ack = idle.seq+1, 5001
@@ -111,7 +111,7 @@
 func TestOldLossesDoNotAddUp(t *testing.T) {
 	b := newBench(t, 3)
 	first, second := b.dial(0).open(), b.dial(0)
-	for second.opener().Target != first.target {
+	for second.opener().target != first.target {
 		second = b.dial(0)
 	}
 	second.seq, second.ack = second.seq+1, 5001
@@ -152,15 +152,15 @@
 func TestCopyOfOpenerGoesToAnotherTarget(t *testing.T) {
 	b := newBench(t, 4)
 	c := b.dial(0)
-	first := c.opener().Target
+	first := c.opener().target
 	b.wait(200 * time.Millisecond)
 	b.lively(first)
 	d := c.opener()
 	assert.Equal(t, d.Action, ActionForward)
 	assert.Equal(t, d.Reason, ReasonRetried)
-	assert.Assert(t, d.Target != first)
+	assert.Assert(t, d.target != first)
 	for range 20 {
-		assert.Assert(t, b.dial(0).opener().Target != first)
+		assert.Assert(t, b.dial(0).opener().target != first)
 	}
 }
 
@@ -176,7 +176,7 @@
 	live.answered(10)
 	d := c.opener()
 	assert.Equal(t, d.Reason, ReasonRepeated)
-	assert.Equal(t, d.Target, live.target)
+	assert.Equal(t, d.target, live.target)
 }
 
 // Guards against a pool that is emptied by suspicion.
@@ -193,14 +193,14 @@
 func TestSuspectedTargetIsTriedAgain(t *testing.T) {
 	b := newBench(t, 3)
 	c := b.dial(0)
-	first := c.opener().Target
+	first := c.opener().target
 	b.wait(200 * time.Millisecond)
 	b.lively(first)
 	c.opener()
 	b.wait(trialPause)
 	trial := b.dial(0)
-	assert.Equal(t, trial.opener().Target, first)
-	assert.Assert(t, b.dial(0).opener().Target != first, "one trial flow at a time")
+	assert.Equal(t, trial.opener().target, first)
+	assert.Assert(t, b.dial(0).opener().target != first, "one trial flow at a time")
 	trial.seq++
 	trial.ack = 1
 	trial.packet(trial.seq, 0)
--- a/internal/coordination/dsr/load_test.go
+++ b/internal/coordination/dsr/load_test.go
@@ -121,7 +121,7 @@
 // choose passes the opener to the balancer, or picks a target by plain hashing.
 func (f *siteFlow) choose(copies uint32) *Target {
 	if !f.hashed {
-		return f.d.Handle(f.now, Packet{Flow: f.key, Opener: true, Copy: copies, Seq: 1}).Target
+		return f.d.Handle(f.now, Packet{Flow: f.key, Opener: true, Copy: copies, Seq: 1}).target
 	}
 	var best *Target
 	for _, t := range f.d.targets.services["web"] {
--- a/internal/coordination/dsr/packet.go
+++ b/internal/coordination/dsr/packet.go
@@ -90,8 +90,10 @@
 type Decision struct {
 	Action Action
 	Reason Reason
-	// Target is where a forwarded packet goes, and the target that a reset is about.
-	Target *Target
+	// To is where a forwarded packet goes, and the target that a reset is about,
+	// as it was announced at the time; its ID is empty without one.
+	To    Announcement
+	Token Token
 	// Route is the route of the packet, nil when it has none.
 	Route *Route
 	// Running is the number of requests in progress at the target before an opener
@@ -104,4 +106,6 @@
 	ListingAge time.Duration
 	// Silence is what spoke against the target of a copy or a reset.
 	Silence Silence
+
+	target *Target
 }
--- a/internal/coordination/dsr/routing_test.go
+++ b/internal/coordination/dsr/routing_test.go
@@ -19,7 +19,7 @@
 		p := Packet{Flow: c.flow, Token: c.target.Token, Seq: c.seq, Ack: c.ack, Bytes: 10}
 		d := second.d.Handle(second.now, p)
 		assert.Equal(t, d.Action, ActionForward)
-		assert.Equal(t, d.Target.ID, c.target.ID)
+		assert.Equal(t, d.target.ID, c.target.ID)
 	}
 }
 
@@ -38,7 +38,7 @@
 		}
 		d := b.d.Handle(b.now, Packet{Flow: c.flow, Token: token, Seq: 1, Ack: 1, Bytes: 1})
 		if d.Action == ActionForward {
-			assert.Equal(t, d.Target.Service, "web")
+			assert.Equal(t, d.target.Service, "web")
 		}
 		assert.Assert(t, d.Action != ActionReset, "%s", d.Reason)
 	})
@@ -51,8 +51,8 @@
 	b.list()
 	c := b.dial(0).open()
 	assert.Assert(t, b.d.SetRoutes(routesOf(2, "other")))
-	assert.Equal(t, c.request(10).Target, c.target)
-	assert.Equal(t, b.dial(0).opener().Target.Service, "other")
+	assert.Equal(t, c.request(10).target, c.target)
+	assert.Equal(t, b.dial(0).opener().target.Service, "other")
 }
 
 // Guards against a route that is served after it was removed, and against a
@@ -76,7 +76,7 @@
 	assert.Assert(t, !b.d.SetRoutes(routesOf(4, "other")))
 	assert.Assert(t, !b.d.SetRoutes(routesOf(5, "other")))
 	assert.Equal(t, b.d.Gauges().RoutesVersion, uint64(5))
-	assert.Equal(t, b.dial(0).opener().Target.Service, "web")
+	assert.Equal(t, b.dial(0).opener().target.Service, "web")
 }
 
 // Guards against new flows at a target that drains, by a copy of an opener too,
@@ -85,7 +85,7 @@
 	b := newBench(t, 2)
 	open := b.dial(0).open()
 	half := b.dial(0)
-	for half.opener().Target != open.target {
+	for half.opener().target != open.target {
 		half = b.dial(0)
 	}
 	for i := range b.targets {
@@ -95,10 +95,10 @@
 		}
 	}
 	b.list()
-	assert.Equal(t, open.request(10).Target, open.target)
-	assert.Assert(t, half.opener().Target != open.target)
+	assert.Equal(t, open.request(10).target, open.target)
+	assert.Assert(t, half.opener().target != open.target)
 	for range 20 {
-		assert.Assert(t, b.dial(0).opener().Target != open.target)
+		assert.Assert(t, b.dial(0).opener().target != open.target)
 	}
 }
 
@@ -122,7 +122,7 @@
 	for range 30 {
 		b.wait(2 * time.Second)
 		b.list()
-		assert.Equal(t, c.request(10).Target.ID, left.ID)
+		assert.Equal(t, c.request(10).target.ID, left.ID)
 		assert.Equal(t, c.answered(10).Action, ActionForward)
 	}
 	b.wait(2*time.Minute + tokenSlack)
@@ -212,11 +212,11 @@
 	c := b.dial(0).open()
 	assert.Equal(t, c.target.ID, b.targets[0].ID, "the one that was created first")
 	for range 10 {
-		assert.Equal(t, b.dial(0).opener().Target, c.target)
+		assert.Equal(t, b.dial(0).opener().target, c.target)
 	}
 	b.targets = b.targets[1:]
 	b.list()
-	assert.Equal(t, c.request(10).Target, c.target, "flows of the first may still be open")
+	assert.Equal(t, c.request(10).target, c.target, "flows of the first may still be open")
 }
 
 // Guards against a packet of a caller without a token, for example one that lost
@@ -225,7 +225,7 @@
 	b := newBench(t, 5)
 	c := b.dial(0).open()
 	d := b.d.Handle(b.now, Packet{Flow: c.flow, Seq: c.seq, Ack: c.ack, Bytes: 3})
-	assert.Equal(t, d.Target, c.target)
+	assert.Equal(t, d.target, c.target)
 	unknown := c.flow
 	unknown.Caller = protocol.Endpoint{IP: [4]byte{1, 2, 3, 4}, Port: 5}
 	assert.Equal(t, b.d.Handle(b.now, Packet{Flow: unknown, Bytes: 3}).Reason, ReasonUnknownToken)
--- a/internal/coordination/dsr/slope_test.go
+++ b/internal/coordination/dsr/slope_test.go
@@ -31,7 +31,7 @@
 		p.Flow.Caller = protocol.Endpoint{IP: [4]byte{100, 64, byte(i >> 16), byte(i >> 8)}, Port: uint16(i&255) + 1024}
 		p.Flow.Service = set.Routes[i%len(set.Routes)].Address
 		decision := d.Handle(epoch, p)
-		packets[i] = Packet{Flow: p.Flow, Token: decision.Target.Token, Seq: 2, Ack: 1, Bytes: 100}
+		packets[i] = Packet{Flow: p.Flow, Token: decision.target.Token, Seq: 2, Ack: 1, Bytes: 100}
 	}
 	return d, packets
 }
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -167,7 +167,7 @@
 		g.byID[a.ID] = t
 		g.claimToken(t)
 		g.touch(t)
-		return []Event{{Kind: EventTargetAdded, Target: t, Revision: a.Revision}}
+		return []Event{{Kind: EventTargetAdded, target: t, Revision: a.Revision}}
 	}
 	return g.update(now, t, a)
 }
@@ -179,18 +179,18 @@
 	}
 	if a.Started != t.Started {
 		t.health = health{}
-		events = append(events, Event{Kind: EventTargetRestarted, Target: t, Revision: a.Revision})
+		events = append(events, Event{Kind: EventTargetRestarted, target: t, Revision: a.Revision})
 	}
 	if !t.gone.IsZero() {
 		t.gone = time.Time{}
-		events = append(events, Event{Kind: EventTargetAdded, Target: t, Revision: a.Revision})
+		events = append(events, Event{Kind: EventTargetAdded, target: t, Revision: a.Revision})
 	}
 	if a.Draining != t.Draining {
 		kind := EventTargetDraining
 		if !a.Draining {
 			kind = EventTargetAdded
 		}
-		events = append(events, Event{Kind: kind, Target: t, Revision: a.Revision})
+		events = append(events, Event{Kind: kind, target: t, Revision: a.Revision})
 	}
 	if a.Revision != t.Revision {
 		t.coldUntil = now.Add(a.ColdFor)
@@ -219,7 +219,7 @@
 func (g *registry) end(now time.Time, t *Target) Event {
 	t.gone = now
 	g.touch(t)
-	return Event{Kind: EventTargetGone, Target: t, Revision: g.revision}
+	return Event{Kind: EventTargetGone, target: t, Revision: g.revision}
 }
 
 // claimToken gives the token to the target that was created first. The other one
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -27,8 +27,8 @@
 	if d.Route != nil {
 		keyvals = append(keyvals, "route", d.Route.Name)
 	}
-	if d.Target != nil {
-		keyvals = append(keyvals, "target", d.Target.ID, "entry", d.Target.Revision)
+	if d.To.ID != "" {
+		keyvals = append(keyvals, "target", d.To.ID, "entry", d.To.Revision)
 	}
 	if d.Silence.Strikes > 0 {
 		keyvals = append(keyvals, "silent_ms", d.Silence.For.Milliseconds(), "unanswered", d.Silence.Strikes)
@@ -42,8 +42,8 @@
 	for _, e := range n.options.Core.TakeEvents() {
 		n.stats.count("belief", string(e.Kind))
 		keyvals := []any{"change", e.Kind, "revision", e.Revision}
-		if e.Target != nil {
-			keyvals = append(keyvals, "target", e.Target.ID, "address", e.Target.Endpoint, "pool", e.Target.Service)
+		if e.About.ID != "" {
+			keyvals = append(keyvals, "target", e.About.ID, "address", e.About.Endpoint, "pool", e.About.Service)
 		}
 		if e.Silence.Strikes > 0 {
 			keyvals = append(keyvals, "silent_ms", e.Silence.For.Milliseconds(), "unanswered", e.Silence.Strikes)
--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -56,7 +56,7 @@
 	// Decode reads a caller's packet. The text of an error names a counter.
 	Decode(data []byte) (dsr.Packet, error)
 	// AppendForward appends the datagram that carries a packet to a target.
-	AppendForward(out, data []byte, t *dsr.Target) []byte
+	AppendForward(out, data []byte, incarnation uint64, token dsr.Token) []byte
 	// AppendReset appends the datagram that resets the flow of a packet.
 	AppendReset(out []byte, p dsr.Packet) []byte
 }
@@ -268,8 +268,8 @@
 	var sent error
 	switch d.Action {
 	case dsr.ActionForward:
-		n.out = n.options.Codec.AppendForward(n.out[:0], datagram, d.Target)
-		sent = n.send(d.Target.Endpoint)
+		n.out = n.options.Codec.AppendForward(n.out[:0], datagram, d.To.Incarnation, d.Token)
+		sent = n.send(d.To.Endpoint)
 	case dsr.ActionReset:
 		n.out = n.options.Codec.AppendReset(n.out[:0], p)
 		sent = n.send(protocol.Endpoint{IP: p.Flow.Caller.IP, Port: n.options.Packets.Port()})
@@ -290,7 +290,7 @@
 	}
 	hop := telemetry.Hop{Flow: p.Flow, Start: start, End: time.Now(), Action: d.Action.String(), Reason: string(d.Reason)}
 	if d.Action == dsr.ActionForward {
-		hop.Target = d.Target.Endpoint
+		hop.Target = d.To.Endpoint
 	}
 	n.options.Tracer.Record(hop)
 }
--- a/internal/transport/direct/node_test.go
+++ b/internal/transport/direct/node_test.go
@@ -36,7 +36,7 @@
 	return p, nil
 }
 
-func (plainCodec) AppendForward(out, data []byte, t *dsr.Target) []byte {
+func (plainCodec) AppendForward(out, data []byte, _ uint64, _ dsr.Token) []byte {
 	return append(append(out, 'f'), data...)
 }
 
@@ -145,3 +145,25 @@
 	n.received()
 	assert.Equal(t, n.node.stats.counters.Value("malformed", "length"), int64(1))
 }
+
+// Guards against a packet that is sent to a mixture of an old and a new entry of
+// its target, because the entry changes while the packet is on its way out. The
+// race detector tells.
+func TestTargetChangesWhilePacketsFlow(t *testing.T) {
+	n := startNode(t)
+	n.learn()
+	address := protocol.NewEndpoint(n.target.LocalAddr().(*net.UDPAddr).AddrPort())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 200 {
+			n.core.Observe(time.Now(), dsr.Listing{Revision: uint64(i + 2), Targets: []dsr.Announcement{{ID: "i-1", Service: "web",
+				Slots: 1 + i%2, Revision: uint64(i + 2), Endpoint: address}}})
+		}
+	}()
+	for i := range 200 {
+		n.send(openerByte, uint16(2000+i))
+		n.received()
+	}
+	<-done
+}
