Do not crash when a part of the process logs while it ends

The queue of log lines was closed at the end of the process, and a follower or the feed could still write to it. The new test panicked before.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -26,6 +26,8 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	// closing is closed by Close, done once the queued lines are written.
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
@@ -33,9 +35,10 @@
 // NewAsyncWriter returns a writer that passes lines on to w.
 func NewAsyncWriter(w io.Writer) *AsyncWriter {
 	a := &AsyncWriter{
-		lines: make(chan []byte, asyncLines),
-		limit: rate.NewLimiter(asyncRate, asyncBurst),
-		done:  make(chan struct{}),
+		lines:   make(chan []byte, asyncLines),
+		limit:   rate.NewLimiter(asyncRate, asyncBurst),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	go a.pass(w)
 	return a
@@ -58,9 +61,10 @@
 // Dropped is the number of lines that were lost.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close waits for a short time until the queued lines are written. Nothing may be written after it.
+// Close waits for a short time until the queued lines are written. Lines that
+// other parts of the process write after it are lost.
 func (a *AsyncWriter) Close() error {
-	a.once.Do(func() { close(a.lines) })
+	a.once.Do(func() { close(a.closing) })
 	select {
 	case <-a.done:
 	case <-time.After(asyncFlush):
@@ -68,11 +72,29 @@
 	return nil
 }
 
+// pass writes lines until the writer is closed and its queue is empty.
 func (a *AsyncWriter) pass(w io.Writer) {
 	defer close(a.done)
-	for line := range a.lines {
-		if _, err := w.Write(line); err != nil {
-			a.dropped.Add(1) // the log stream is the only place to report to
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(w, line)
+			continue
+		default:
 		}
+		select {
+		case line := <-a.lines:
+			a.write(w, line)
+		case <-a.closing:
+			if len(a.lines) == 0 {
+				return
+			}
+		}
+	}
+}
+
+func (a *AsyncWriter) write(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		a.dropped.Add(1) // the log stream is the only place to report to
 	}
 }
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -49,3 +49,22 @@
 	assert.Equal(t, out.String(), want)
 	assert.Equal(t, a.Dropped(), int64(0))
 }
+
+// Guards against a process that crashes at its end, because a part of it still
+// logs while the writer is closed.
+func TestAsyncWriterTakesLinesAfterClose(t *testing.T) {
+	var out lockedBuffer
+	a := NewAsyncWriter(&out)
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			for range 100 {
+				fmt.Fprintln(a, "line")
+			}
+		})
+	}
+	assert.NilError(t, a.Close())
+	group.Wait()
+	fmt.Fprintln(a, "late line")
+	assert.NilError(t, a.Close())
+}
