--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -23,6 +23,10 @@
 	FlowLife time.Duration
 	// FlowCapacity bounds the flow table.
 	FlowCapacity int
+	// DeadTime is how long after its last unanswered packet a target is taken for
+	// dead. It must be shorter than the time after which a disturbance counts as
+	// over, so that idle flows survive a cut that has healed.
+	DeadTime time.Duration
 }
 
 // defaultFlowCapacity holds six times the flows of one balancer at the size of two years.
@@ -49,6 +53,9 @@
 	if o.FlowCapacity == 0 {
 		o.FlowCapacity = defaultFlowCapacity
 	}
+	if o.DeadTime == 0 {
+		o.DeadTime = defaultDeadTime
+	}
 	return &Dispatcher{
 		options: o,
 		routes:  newRouteTable(),
@@ -312,7 +319,7 @@
 		return
 	}
 	f.struckAt = now
-	if t.health.strike(now, sent) {
+	if t.health.strike(now, sent, d.options.DeadTime) {
 		d.events = append(d.events, Event{Kind: EventTargetSuspected, target: t, Silence: t.health.silence(now)})
 	}
 }
@@ -323,7 +330,7 @@
 	if p.Bytes == 0 || p.Fin {
 		return "", false
 	}
-	if t.health.dark(now) {
+	if t.health.dark(now, d.options.DeadTime) {
 		return ReasonTargetSilent, true
 	}
 	if !t.gone.IsZero() && t.health.struck(now) {
--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -14,10 +14,9 @@
 	// copy of a packet are 800 ms apart; without a bound, two lost packets of a target
 	// that this balancer rarely sees would count together however far apart they are.
 	strikeMemory = 1200 * time.Millisecond
-	// deadTime is how long after the last unanswered packet a target is taken for dead.
-	// It ends before the 4 s after which the platform takes a disturbance to be over,
-	// so that idle flows survive a cut.
-	deadTime = 3 * time.Second
+	// defaultDeadTime is three quarters of the 4 s after which the users' platform
+	// takes a disturbance to be over, see Options.DeadTime.
+	defaultDeadTime = 3 * time.Second
 	// repeatAge is the least age of a packet that a caller sends again. Callers send
 	// again after 200 ms; a copy that follows sooner arrived out of order.
 	repeatAge = 150 * time.Millisecond
@@ -43,7 +42,8 @@
 	// strikes are the unanswered packets since then, struckAt the time of the last one.
 	strikes  int
 	struckAt time.Time
-	// dead is set when strikesToReset packets in a row were left unanswered; it holds for deadTime.
+	// dead is set when strikesToReset packets in a row were left unanswered; it
+	// holds for the dead time after the last one.
 	dead        bool
 	suspectedAt time.Time
 	trialAt     time.Time
@@ -60,11 +60,11 @@
 
 // strike notes that a packet sent at a time was not answered. It reports whether
 // the target is suspected from now on. Signs of life after the packet outweigh it.
-func (h *health) strike(now, sent time.Time) bool {
+func (h *health) strike(now, sent time.Time, deadTime time.Duration) bool {
 	if !h.aliveAt.Before(sent) {
 		return false
 	}
-	stillDead := h.believedDead(now)
+	stillDead := h.believedDead(now, deadTime)
 	if !h.struck(now) {
 		h.strikes = 0
 	}
@@ -92,12 +92,12 @@
 }
 
 // dark reports whether open flows of the target may be reset.
-func (h *health) dark(now time.Time) bool {
-	return h.believedDead(now) && now.Sub(h.aliveAt) >= resetSilence
+func (h *health) dark(now time.Time, deadTime time.Duration) bool {
+	return h.believedDead(now, deadTime) && now.Sub(h.aliveAt) >= resetSilence
 }
 
 // believedDead reports whether the last verdict still holds.
-func (h *health) believedDead(now time.Time) bool {
+func (h *health) believedDead(now time.Time, deadTime time.Duration) bool {
 	return h.dead && now.Sub(h.struckAt) <= deadTime
 }
 
