--- a/internal/protocol/quic.go
+++ b/internal/protocol/quic.go
@@ -36,10 +36,8 @@
 	// destination and source are the connection IDs.
 	destination []byte
 	source      []byte
-	// length is the number of bytes that the packet takes in the datagram, numberAt
-	// the offset of its packet number.
-	length   int
-	numberAt int
+	// length is the number of bytes that the packet takes in the datagram.
+	length int
 }
 
 // parseQUIC reads the long-header packet at the start of data. It reports false
@@ -78,8 +76,7 @@
 	if size == 0 || payload > uint64(len(rest)-size) {
 		return p, false
 	}
-	p.numberAt = len(data) - len(rest) + size
-	p.length = p.numberAt + int(payload)
+	p.length = len(data) - len(rest) + size + int(payload)
 	return p, true
 }
 
@@ -116,10 +113,9 @@
 }
 
 // classifyQUIC fills kind, tags and ZeroRTT from a UDP payload. A datagram is an
-// opener when it has an Initial whose keys follow from its own destination, and
-// nothing that needs keys of a later stage: callers acknowledge the target's
-// Initial, alone or together with Handshake packets, and some use another
-// connection ID of the target by then.
+// opener when it has an Initial and nothing that needs keys of a later stage:
+// callers acknowledge the target's Initial together with Handshake packets, and
+// some use another connection ID of the target by then.
 func classifyQUIC(p *Packet, payload []byte) {
 	first, ok := parseQUIC(payload)
 	if !ok {
@@ -128,12 +124,9 @@
 	}
 	p.Tag, p.HasTag = tag(first.destination)
 	p.SourceTag, _ = tag(first.source)
-	begins, initial, later := false, false, false
+	initial, later := false, false
 	for next := first; ok; next, ok = parseQUIC(payload) {
-		if next.kind == quicInitial {
-			initial = true
-			begins = begins || beginsConnection(payload[:next.length], next.destination, next.numberAt)
-		}
+		initial = initial || next.kind == quicInitial
 		later = later || next.kind == quicHandshake
 		p.ZeroRTT = p.ZeroRTT || next.kind == quicZeroRTT
 		payload = payload[next.length:]
@@ -141,7 +134,7 @@
 	later = later || isShort(payload)
 	p.ZeroRTTOnly = p.ZeroRTT && !initial && !later
 	p.Kind = KindHandshake
-	if begins && !later {
+	if initial && !later {
 		p.Kind = KindOpener
 	}
 }
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -91,12 +91,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "feed datagrams")
 	}
-	address := conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	listener, err := net.Listen("tcp4", address.String())
+	o.Self.Address = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	listener, err := net.Listen("tcp4", o.Self.Address.String())
 	if err != nil {
+		_ = conn.Close() // the error that matters is the one of the listener
 		return nil, errors.Wrap(err, "feed requests")
 	}
-	o.Self.Address = address
 	limit := time.Duration(limitShare * float64(o.Bound))
 	return &Service{
 		options:  o,
