--- a/internal/cli/balancer.go
+++ b/internal/cli/balancer.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -83,7 +81,7 @@
 
 // untilStopped returns a context that ends with the first signal. A second signal ends the process.
 func untilStopped() (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal()
 	context.AfterFunc(ctx, stop)
 	return ctx, stop
 }
--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -25,8 +25,6 @@
 	RoutesVersion uint64
 	Epoch         uint64
 	Change        uint64
-	// Revision is the store's revision of the latest data.
-	Revision uint64
 	// Readings counts the readings of the platform that were taken here.
 	Readings uint64
 	// AsOf is the latest time at which the data were known to be the platform's.
@@ -38,8 +36,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.targets
-	s = Summary{RoutesVersion: d.routes.version, Epoch: g.epoch, Change: g.change, Revision: g.revision, Readings: g.readings, AsOf: g.listedAt}
-	return s, d.ready()
+	return Summary{RoutesVersion: d.routes.version, Epoch: g.epoch, Change: g.change, Readings: g.readings, AsOf: g.listedAt}, d.ready()
 }
 
 // Delta returns what changed after a change of this process, or everything.
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -286,7 +286,7 @@
 	if repeated {
 		d.unanswered(now, f, t, f.sentAt)
 	}
-	if reason, reset := d.dead(now, t, f, p); reset {
+	if reason, reset := d.dead(now, t, p); reset {
 		silence := t.health.silence(now)
 		d.remove(p.Flow, f)
 		return Decision{Action: ActionReset, Reason: reason, target: t, Route: route, Silence: silence}
@@ -326,7 +326,7 @@
 
 // dead reports whether the target of an open flow can no longer answer, so that
 // the caller gains by opening another flow at once.
-func (d *Dispatcher) dead(now time.Time, t *Target, f *flow, p Packet) (Reason, bool) {
+func (d *Dispatcher) dead(now time.Time, t *Target, p Packet) (Reason, bool) {
 	if p.Bytes == 0 || p.Fin {
 		return "", false
 	}
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -289,11 +290,6 @@
 		}
 	}
 	for _, targets := range g.services {
-		slices.SortFunc(targets, func(a, b *Target) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
 }
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -10,6 +10,7 @@
 package feed
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -65,15 +66,7 @@
 func ancestors(self string, members []Member) []Member {
 	order := slices.Clone(members)
 	rank := func(m Member) uint64 { return state.Mix(xxhash.Sum64String(m.VM), 0) }
-	slices.SortFunc(order, func(a, b Member) int {
-		switch x, y := rank(a), rank(b); {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(order, func(a, b Member) int { return cmp.Compare(rank(a), rank(b)) })
 	position := slices.IndexFunc(order, func(m Member) bool { return m.VM == self })
 	var above []Member
 	for position > 0 {
--- /dev/null
+++ b/internal/telemetry/vars.go
@@ -0,0 +1,27 @@
+package telemetry
+
+import (
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// varsHeaderTimeout bounds a client that sends its request slowly.
+const varsHeaderTimeout = 5 * time.Second
+
+// ServeVars serves expvar under /debug/vars until stop is called.
+func ServeVars(address netip.AddrPort) (stop func(), err error) {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: varsHeaderTimeout}
+	go func() { _ = server.Serve(listener) }() // ends with ErrServerClosed at stop
+	return func() { _ = server.Close() }, nil
+}
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -109,9 +109,6 @@
 	}, nil
 }
 
-// Address is where the service listens.
-func (s *Service) Address() netip.AddrPort { return s.options.Self.Address }
-
 // Reads reports whether this balancer must read the platform by itself.
 func (s *Service) Reads() bool {
 	s.mu.Lock()
@@ -243,19 +240,17 @@
 	}
 	newTargets := state.GetEpoch() != s.epoch || state.GetChange() != s.change
 	if !newRoutes && !newTargets {
-		s.confirm(parent, asOf, own.RoutesVersion <= state.GetRoutesVersion())
-		return
+		if own.RoutesVersion == state.GetRoutesVersion() {
+			s.confirm(parent, asOf)
+		}
+		return // a parent with older routes lags behind and is not relied on
 	}
 	s.fetching = true
 	go s.fetch(ctx, parent, asOf, newRoutes, newTargets)
 }
 
-// confirm notes that the data here are those of the parent. A parent with older
-// routes lags behind and is not relied on. The caller holds mu.
-func (s *Service) confirm(parent feed.Member, asOf time.Time, current bool) {
-	if !current {
-		return
-	}
+// confirm notes that the data here are those of the parent. The caller holds mu.
+func (s *Service) confirm(parent feed.Member, asOf time.Time) {
 	s.follower.Heard(parent, asOf)
 	s.options.Core.Confirm(asOf)
 }
@@ -279,7 +274,7 @@
 		s.log(level.Warn, "fetch failed", "parent", parent.VM, "err", err)
 		return
 	}
-	s.confirm(parent, asOf, true)
+	s.confirm(parent, asOf)
 }
 
 func (s *Service) fetchRoutes(ctx context.Context, client wire.Feed) error {
--- a/internal/transport/process.go
+++ b/internal/transport/process.go
@@ -4,8 +4,6 @@
 	"context"
 	"expvar"
 	"io"
-	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -23,8 +21,6 @@
 )
 
 const (
-	// debugHeaderTimeout bounds a client that sends its request slowly.
-	debugHeaderTimeout = 5 * time.Second
 	// traceFlushLimit bounds the wait for the last spans.
 	traceFlushLimit = 2 * time.Second
 )
@@ -181,13 +177,6 @@
 	if !address.IsValid() {
 		return func() {}, nil
 	}
-	listener, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "debug_address")
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: debugHeaderTimeout}
-	go func() { _ = server.Serve(listener) }() // ends with ErrServerClosed at stop
-	return func() { _ = server.Close() }, nil
+	stop, err = telemetry.ServeVars(address)
+	return stop, errors.Wrap(err, "debug_address")
 }
