--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -35,6 +35,8 @@
 		return drop(ReasonUnexpected)
 	case isEnd(p.Kind):
 		return d.callerEnd(c)
+	case d.fromTakenAnswer(c):
+		return d.laterInitial(c)
 	case c.known && d.trusts(c):
 		d.save(c)
 		return d.forward(c, c.entry.Target, ReasonKnownFlow)
--- a/internal/coordination/conflict_test.go
+++ b/internal/coordination/conflict_test.go
@@ -80,15 +80,25 @@
 	return netip.AddrPort{}
 }
 
-// opener is an Initial of the caller to a connection id.
-func (x *conflict) opener(tag uint32) Decision {
+// opener is an Initial that begins the connection, to a connection id.
+func (x *conflict) opener(tag uint32) Decision { return x.initial(tag, callerTag, false) }
+
+// later is an Initial of a connection that has begun, to a connection id.
+func (x *conflict) later(tag uint32) Decision { return x.initial(tag, callerTag, true) }
+
+func (x *conflict) initial(tag, sourceTag uint32, later bool) Decision {
+	kind := protocol.KindOpener
+	if later {
+		kind = protocol.KindHandshake
+	}
 	return x.d.Handle(x.now, Ingress{Packet: protocol.Packet{
-		Source: x.caller, Destination: x.service, Transport: protocol.TransportUDP, Kind: protocol.KindOpener,
-		HasTag: true, Tag: tag, SourceTag: callerTag, PayloadBytes: payloadSize,
+		Source: x.caller, Destination: x.service, Transport: protocol.TransportUDP, Kind: kind, LaterInitial: later,
+		HasTag: true, Tag: tag, SourceTag: sourceTag, PayloadBytes: payloadSize,
 	}})
 }
 
 // fromTarget is a packet of a target; without an own connection id it is data.
+// Tag 0 stands for a caller without a connection id.
 func (x *conflict) fromTarget(target protocol.Endpoint, from netip.AddrPort, tag, sourceTag uint32) Decision {
 	kind := protocol.KindData
 	if sourceTag != 0 {
@@ -96,7 +106,7 @@
 	}
 	in := Ingress{From: from, Packet: protocol.Packet{
 		Source: target, Destination: x.caller, Transport: protocol.TransportUDP, Kind: kind,
-		HasTag: true, Tag: tag, SourceTag: sourceTag, PayloadBytes: payloadSize,
+		HasTag: tag != 0, Tag: tag, SourceTag: sourceTag, PayloadBytes: payloadSize,
 	}}
 	if from.IsValid() {
 		in.Hops = 1
@@ -120,13 +130,31 @@
 // Guards against a handshake that stalls because the caller took the answer of a
 // target that only a balancer with another view knows.
 func TestInitialForUnknownAnswerIsRelayed(t *testing.T) {
+	for name, send := range map[string]func(*conflict, uint32) Decision{"opener": (*conflict).opener, "later": (*conflict).later} {
+		t.Run(name, func(t *testing.T) {
+			x := newConflict(t, roleOwner)
+			bound := x.opener(firstTag).Endpoint
+			assert.Equal(t, send(x, unknownTag).Action, ActionRelay)
+			x.fromTarget(bound, netip.AddrPort{}, callerTag, answerTag)
+			assert.Equal(t, send(x, unknownTag).Action, ActionRelay)
+			assert.Equal(t, x.opener(firstTag).Endpoint, bound)
+			assert.Equal(t, send(x, answerTag).Endpoint, bound)
+		})
+	}
+}
+
+// Guards against a later Initial of a caller without a connection ID of its own
+// that is admitted as another connection, or bound to a target without asking a
+// balancer that may know the flow.
+func TestLaterInitialOpensNothing(t *testing.T) {
 	x := newConflict(t, roleOwner)
-	bound := x.opener(firstTag).Endpoint
-	assert.Equal(t, x.opener(unknownTag).Action, ActionRelay)
-	x.fromTarget(bound, netip.AddrPort{}, callerTag, answerTag)
-	assert.Equal(t, x.opener(unknownTag).Action, ActionRelay)
-	assert.Equal(t, x.opener(firstTag).Endpoint, bound)
-	assert.Equal(t, x.opener(answerTag).Endpoint, bound)
+	d := x.initial(unknownTag, 0, true)
+	assert.Equal(t, d.Action, ActionRelay)
+	bound := x.initial(firstTag, 0, false).Endpoint
+	x.fromTarget(bound, netip.AddrPort{}, 0, answerTag)
+	assert.Equal(t, x.initial(unknownTag, 0, true).Action, ActionRelay)
+	assert.Equal(t, x.initial(answerTag, 0, true).Endpoint, bound)
+	assert.Equal(t, x.initial(unknownTag, 0, true).Endpoint, bound)
 }
 
 // Guards against a backup that drops answers which the owner has passed. The
@@ -147,5 +175,5 @@
 	handed := state.Binding{Flow: flow, Target: other, Strength: state.StrengthTentative, OpenerTag: callerTag, AnswerTag: rivalTag}
 	assert.Equal(t, x.d.AcceptHandoff(x.now, []state.Binding{handed}), 0)
 	assert.Equal(t, x.opener(firstTag).Endpoint, bound)
-	assert.Equal(t, x.opener(rivalTag).Endpoint, other)
+	assert.Equal(t, x.later(rivalTag).Endpoint, other)
 }
--- a/internal/coordination/rival.go
+++ b/internal/coordination/rival.go
@@ -84,6 +84,30 @@
 	return !e.Has(state.FlagAnswerTag) || e.AnswerTag != p.Tag
 }
 
+// fromTakenAnswer reports whether a packet is a later Initial of a flow whose
+// caller may have taken the answer of another target than the bound one.
+func (d *Dispatcher) fromTakenAnswer(c *packetContext) bool {
+	e, p := &c.entry, &c.in.Packet
+	if !p.LaterInitial || !c.strong() || !e.Bound() || e.Strength != state.StrengthTentative {
+		return false
+	}
+	return p.SourceTag == 0 || c.sameConnection()
+}
+
+// laterInitial decides about a later Initial on a tentative binding. The owner
+// knows the opener, so it alone can tell that the caller took another answer.
+func (d *Dispatcher) laterInitial(c *packetContext) Decision {
+	if owner := c.shard.owner(); !c.isOwner() && c.mayRelay(owner) {
+		return relay(owner, ReasonToOwner)
+	}
+	if d.tookOther(c) {
+		return d.towardsOther(c)
+	}
+	d.noteOpener(c)
+	d.save(c)
+	return d.forward(c, c.entry.Target, ReasonKnownFlow)
+}
+
 // noteHandedRival remembers the target that a former owner has for a tentative flow.
 func (d *Dispatcher) noteHandedRival(c *packetContext, b *state.Binding) {
 	tentative := c.entry.Strength == state.StrengthTentative && c.service.Protocol == objects.ProtocolQUIC
--- a/internal/protocol/decode_test.go
+++ b/internal/protocol/decode_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
 	"encoding/binary"
 	"testing"
 
@@ -27,9 +31,67 @@
 		p = append(p, 2, 0xaa, 0xbb) // token
 	}
 	p = binary.BigEndian.AppendUint16(p, 0x4000|uint16(payload))
+	if initial && payload > 1+quicSample+quicMaxNumber {
+		return sealInitial(version, p, bytes.Repeat([]byte{d}, 8), payload)
+	}
 	return append(p, bytes.Repeat([]byte{0x5a}, payload)...)
 }
 
+// sealInitial appends packet number and payload to the head of an Initial and
+// protects them with the keys that follow from a connection ID.
+func sealInitial(version uint32, head, keyID []byte, payload int) []byte {
+	salt, prefix := quicSaltV1, "quic"
+	if version == quicVersion2 {
+		salt, prefix = quicSaltV2, "quicv2"
+	}
+	secret, err := hkdf.Extract(sha256.New, keyID, salt)
+	if err != nil {
+		panic(err)
+	}
+	client := expandLabel(secret, "client in", sha256.Size)
+	block, err := aes.NewCipher(expandLabel(client, prefix+" key", quicKeyBytes))
+	if err != nil {
+		panic(err)
+	}
+	seal, err := cipher.NewGCM(block)
+	if err != nil {
+		panic(err)
+	}
+	numberAt := len(head)
+	p := append(bytes.Clone(head), 0) // packet number 0 in one byte
+	plain := bytes.Repeat([]byte{0x5a}, payload-1-seal.Overhead())
+	p = seal.Seal(p, expandLabel(client, prefix+" iv", quicIVBytes), plain, bytes.Clone(p))
+	protect, err := aes.NewCipher(expandLabel(client, prefix+" hp", quicKeyBytes))
+	if err != nil {
+		panic(err)
+	}
+	var mask [quicSample]byte
+	protect.Encrypt(mask[:], p[numberAt+quicMaxNumber:][:quicSample])
+	p[0] ^= mask[0] & 0x0f
+	p[numberAt] ^= mask[1]
+	return p
+}
+
+// Guards against an Initial to an ID that the target chose, with the keys of the
+// connection's first ID, that counts as the opener of another connection.
+func TestLaterInitialIsNoOpener(t *testing.T) {
+	for _, version := range []uint32{quicVersion1, quicVersion2} {
+		typeBits := byte(0)
+		if version == quicVersion2 {
+			typeBits = 1
+		}
+		whole := quicLong(version, typeBits, 0xd1, 0x51, 100)
+		head := whole[:len(whole)-100]
+		later := sealInitial(version, append([]byte{quicLongHeader | quicFixedBit | typeBits<<4}, head[1:]...), bytes.Repeat([]byte{0xd2}, 8), 100)
+		for payload, want := range map[string]Kind{string(whole): KindOpener, string(later): KindHandshake} {
+			p, err := NewDecoder().Decode(BuildUDP(caller, service, []byte(payload)))
+			assert.NilError(t, err)
+			assert.Equal(t, p.Kind, want)
+			assert.Equal(t, p.LaterInitial, want == KindHandshake)
+		}
+	}
+}
+
 func join(parts ...[]byte) []byte { return bytes.Join(parts, nil) }
 
 // Guards against a wrong kind or tag, which would admit, refuse or bind a flow wrongly.
--- a/internal/protocol/packet.go
+++ b/internal/protocol/packet.go
@@ -67,8 +67,8 @@
 const (
 	// KindData is any packet that has no other kind, including a QUIC short-header packet.
 	KindData Kind = iota
-	// KindOpener is a TCP SYN without ACK, or a QUIC datagram with an Initial and
-	// without Handshake or short-header packets.
+	// KindOpener is a TCP SYN without ACK, or a QUIC datagram with an Initial that
+	// begins a connection and without Handshake or short-header packets.
 	KindOpener
 	// KindOpenerAnswer is a TCP SYN-ACK.
 	KindOpenerAnswer
@@ -112,6 +112,9 @@
 	ZeroRTT bool
 	// ZeroRTTOnly reports that the datagram holds nothing but QUIC 0-RTT packets.
 	ZeroRTTOnly bool
+	// LaterInitial reports a QUIC datagram with Initials only, none of which begins
+	// a connection: it belongs to one whose target has answered.
+	LaterInitial bool
 	// PayloadBytes is the length of the transport payload in bytes.
 	PayloadBytes int
 }
--- a/internal/protocol/quic.go
+++ b/internal/protocol/quic.go
@@ -36,8 +36,10 @@
 	// destination and source are the connection IDs.
 	destination []byte
 	source      []byte
-	// length is the number of bytes that the packet takes in the datagram.
-	length int
+	// length is the number of bytes that the packet takes in the datagram, numberAt
+	// the offset of its packet number.
+	length   int
+	numberAt int
 }
 
 // parseQUIC reads the long-header packet at the start of data. It reports false
@@ -76,7 +78,8 @@
 	if size == 0 || payload > uint64(len(rest)-size) {
 		return p, false
 	}
-	p.length = len(data) - len(rest) + size + int(payload)
+	p.numberAt = len(data) - len(rest) + size
+	p.length = p.numberAt + int(payload)
 	return p, true
 }
 
@@ -113,9 +116,10 @@
 }
 
 // classifyQUIC fills kind, tags and ZeroRTT from a UDP payload. A datagram is an
-// opener when it has an Initial and nothing that needs keys of a later stage:
-// callers acknowledge the target's Initial together with Handshake packets, and
-// some use another connection ID of the target by then.
+// opener when it has an Initial whose keys follow from its own destination, and
+// nothing that needs keys of a later stage: callers acknowledge the target's
+// Initial, alone or together with Handshake packets, and some use another
+// connection ID of the target by then.
 func classifyQUIC(p *Packet, payload []byte) {
 	first, ok := parseQUIC(payload)
 	if !ok {
@@ -124,9 +128,12 @@
 	}
 	p.Tag, p.HasTag = tag(first.destination)
 	p.SourceTag, _ = tag(first.source)
-	initial, later := false, false
+	begins, initial, later := false, false, false
 	for next := first; ok; next, ok = parseQUIC(payload) {
-		initial = initial || next.kind == quicInitial
+		if next.kind == quicInitial {
+			initial = true
+			begins = begins || beginsConnection(payload[:next.length], next.destination, next.numberAt)
+		}
 		later = later || next.kind == quicHandshake
 		p.ZeroRTT = p.ZeroRTT || next.kind == quicZeroRTT
 		payload = payload[next.length:]
@@ -134,9 +141,10 @@
 	later = later || isShort(payload)
 	p.ZeroRTTOnly = p.ZeroRTT && !initial && !later
 	p.Kind = KindHandshake
-	if initial && !later {
+	if begins && !later {
 		p.Kind = KindOpener
 	}
+	p.LaterInitial = initial && !begins && !later
 }
 
 // classifyShort handles a payload without a long header of a known version. A
--- /dev/null
+++ b/internal/protocol/quickeys.go
@@ -0,0 +1,79 @@
+package protocol
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// The keys of the first Initial of a connection follow from the connection ID
+// that it is addressed to (RFC 9001, section 5.2, and RFC 9369, section 3.3). Later
+// Initials are addressed to an ID that the target chose, but keep those keys. So
+// an Initial whose own destination gives its keys begins a connection.
+var (
+	quicSaltV1 = []byte{0x38, 0x76, 0x2c, 0xf7, 0xf5, 0x59, 0x34, 0xb3, 0x4d, 0x17, 0x9a, 0xe6, 0xa4, 0xc8, 0x0c, 0xad, 0xcc, 0xbb, 0x7f, 0x0a}
+	quicSaltV2 = []byte{0x0d, 0xed, 0xe3, 0xde, 0xf7, 0x00, 0xa6, 0xdb, 0x81, 0x93, 0x81, 0xbe, 0x6e, 0x26, 0x9d, 0xcb, 0xf9, 0xbd, 0x2e, 0xd9}
+)
+
+const (
+	quicKeyBytes  = 16
+	quicIVBytes   = 12
+	quicSample    = 16 // bytes of the sample that protects the header
+	quicMaxNumber = 4  // bytes of the longest packet number
+)
+
+// beginsConnection reports whether the Initial at the start of data is protected
+// with the keys that follow from its destination. numberAt is the offset of its packet number.
+func beginsConnection(data []byte, destination []byte, numberAt int) bool {
+	if len(data) < numberAt+quicMaxNumber+quicSample {
+		return false
+	}
+	salt, prefix := quicSaltV1, "quic"
+	if binary.BigEndian.Uint32(data[1:]) == quicVersion2 {
+		salt, prefix = quicSaltV2, "quicv2"
+	}
+	secret, err := hkdf.Extract(sha256.New, destination, salt)
+	if err != nil {
+		return false
+	}
+	client := expandLabel(secret, "client in", sha256.Size)
+	header, err := aes.NewCipher(expandLabel(client, prefix+" hp", quicKeyBytes))
+	if err != nil {
+		return false
+	}
+	block, err := aes.NewCipher(expandLabel(client, prefix+" key", quicKeyBytes))
+	if err != nil {
+		return false
+	}
+	seal, err := cipher.NewGCM(block)
+	if err != nil {
+		return false
+	}
+	var mask [quicSample]byte
+	header.Encrypt(mask[:], data[numberAt+quicMaxNumber:][:quicSample])
+	first := data[0] ^ mask[0]&0x0f
+	size := int(first&0x03) + 1
+	clear := append([]byte{first}, data[1:numberAt+size]...)
+	nonce := expandLabel(client, prefix+" iv", quicIVBytes)
+	for i := range size {
+		clear[numberAt+i] ^= mask[1+i]
+		nonce[quicIVBytes-size+i] ^= clear[numberAt+i]
+	}
+	_, err = seal.Open(nil, nonce, data[numberAt+size:], clear)
+	return err == nil
+}
+
+// expandLabel derives a key as TLS 1.3 does (RFC 8446, section 7.1).
+func expandLabel(secret []byte, label string, length int) []byte {
+	label = "tls13 " + label
+	info := binary.BigEndian.AppendUint16(nil, uint16(length))
+	info = append(info, byte(len(label)))
+	info = append(append(info, label...), 0)
+	key, err := hkdf.Expand(sha256.New, secret, string(info), length)
+	if err != nil {
+		panic(err) // the length is a small constant
+	}
+	return key
+}
