Take the silence of a full target for lack of room, and keep to its limit of flows

A full target leaves openers unanswered, which counted as evidence that it is dead, so its open flows were reset. The limit in the configuration was not read.

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -219,9 +219,9 @@
 	if f.refused {
 		return Decision{Action: ActionReset, Reason: ReasonNoTarget, Route: route}
 	}
-	d.unanswered(now, f, f.target, f.openedAt)
+	d.unansweredOpener(now, f)
 	silence := f.target.health.silence(now)
-	if f.target.usable() && !f.target.health.suspected() {
+	if f.target.usable() && !f.target.health.suspected() && !f.target.full(now) {
 		return Decision{Action: ActionForward, Reason: ReasonRepeated, target: f.target, Route: route, Silence: silence}
 	}
 	f.tried = append(f.tried, f.target)
@@ -292,8 +292,7 @@
 		return Decision{Action: ActionReset, Reason: reason, target: t, Route: route, Silence: silence}
 	}
 	if p.Fin {
-		f.finish()
-		f.closed = true
+		f.close()
 	}
 	return forward
 }
@@ -312,10 +311,7 @@
 // about the target unless a packet that was sent later has been answered: otherwise
 // the balancer's own link may be down or its queue long, or the process did not run.
 func (d *Dispatcher) unanswered(now time.Time, f *flow, t *Target, sent time.Time) {
-	if sent.Before(d.evidenceFrom) || !d.answeredTo.After(sent) {
-		return
-	}
-	if now.Sub(sent) < repeatAge || now.Sub(f.struckAt) < repeatAge {
+	if !d.provesSilence(now, f, sent) {
 		return
 	}
 	f.struckAt = now
@@ -324,6 +320,14 @@
 	}
 }
 
+// provesSilence reports whether a packet of a flow that was sent at a time counts as unanswered.
+func (d *Dispatcher) provesSilence(now time.Time, f *flow, sent time.Time) bool {
+	if sent.Before(d.evidenceFrom) || !d.answeredTo.After(sent) {
+		return false
+	}
+	return now.Sub(sent) >= repeatAge && now.Sub(f.struckAt) >= repeatAge
+}
+
 // dead reports whether the target of an open flow can no longer answer, so that
 // the caller gains by opening another flow at once.
 func (d *Dispatcher) dead(now time.Time, t *Target, p Packet) (Reason, bool) {
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -11,6 +11,7 @@
 	EventTargetGone      EventKind = "target-gone"
 	EventTargetSuspected EventKind = "target-suspected"
 	EventTargetAlive     EventKind = "target-alive"
+	EventTargetFull      EventKind = "target-full"
 	EventListingIgnored  EventKind = "listing-ignored"
 	EventRoutesAdopted   EventKind = "routes-adopted"
 	EventRoutesIgnored   EventKind = "routes-ignored"
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// openTime is how long a flow is kept whose opener was not answered. Callers give
+	// up after 1.4 s.
+	openTime = 2 * time.Second
 	// closedTime is how long a closed flow is kept to recognise late copies of its packets.
 	closedTime = 5 * time.Second
 	// defaultIdle is used until a configuration gives the idle timeout.
@@ -106,6 +109,9 @@
 	if f.target != nil {
 		f.target.open--
 		f.route.use.open--
+		if f.closed {
+			f.target.closed--
+		}
 		if f.running {
 			f.target.running--
 		}
@@ -113,6 +119,9 @@
 	if t != nil {
 		t.open++
 		f.route.use.open++
+		if f.closed {
+			t.closed++
+		}
 		if f.running {
 			t.running++
 		}
@@ -144,6 +153,18 @@
 	}
 }
 
+// close notes that the caller has closed the flow.
+func (f *flow) close() {
+	f.finish()
+	if f.closed {
+		return
+	}
+	f.closed = true
+	if f.target != nil {
+		f.target.closed++
+	}
+}
+
 // note takes the sequence numbers of a packet. It reports whether the packet
 // repeats bytes that the caller sent before.
 func (f *flow) note(now time.Time, p Packet) (repeated bool) {
@@ -191,7 +212,8 @@
 			f.finish()
 		}
 		quiet := now.Sub(f.lastSeen)
-		if quiet > idle || (f.closed || f.refused) && quiet > closedTime || now.Sub(f.openedAt) > d.options.FlowLife+idle {
+		unopened := !f.confirmed && !f.refused && now.Sub(f.openedAt) > openTime
+		if unopened || quiet > idle || (f.closed || f.refused) && quiet > closedTime || now.Sub(f.openedAt) > d.options.FlowLife+idle {
 			d.remove(key, f)
 			continue
 		}
--- /dev/null
+++ b/internal/coordination/dsr/room.go
@@ -0,0 +1,55 @@
+package dsr
+
+import "time"
+
+// A target holds a limited number of flows. One that holds as many leaves further
+// openers unanswered and goes on serving its flows. A balancer knows its own flows
+// only, so it learns the rest from openers that go unanswered.
+
+const (
+	// sharingBalancers is how many balancers may share the flows of a target about
+	// evenly: the larger half of a place of 160, the plan for two years.
+	sharingBalancers = 100
+	// fullPause is how long a target gets no flow after it left an opener unanswered
+	// for lack of room. Callers with one flow for each request free some within it.
+	fullPause = time.Second
+)
+
+// held is the number of flows of this balancer that the target keeps.
+func (t *Target) held() int { return t.open - t.closed }
+
+// hasRoom reports whether the target can take another flow, as far as is known.
+func (t *Target) hasRoom(now time.Time, limit int) bool {
+	return !t.full(now) && (limit == 0 || t.held() < limit)
+}
+
+// full reports whether the target lately had no room for a flow.
+func (t *Target) full(now time.Time) bool {
+	return !t.fullAt.IsZero() && now.Sub(t.fullAt) < fullPause
+}
+
+// mayBeFull reports whether the target may hold as many flows as it can, when
+// other balancers have as many there as this one.
+func (d *Dispatcher) mayBeFull(t *Target) bool {
+	limit := d.routes.connections[t.Service]
+	return limit > 0 && (t.held()+1)*sharingBalancers >= limit
+}
+
+// unansweredOpener notes that an opener was not answered. A target that holds as
+// many flows as it can leaves openers unanswered and serves its flows, so this
+// tells nothing about its life when it may be full.
+func (d *Dispatcher) unansweredOpener(now time.Time, f *flow) {
+	t := f.target
+	if !d.mayBeFull(t) {
+		d.unanswered(now, f, t, f.openedAt)
+		return
+	}
+	if !d.provesSilence(now, f, f.openedAt) {
+		return
+	}
+	f.struckAt = now
+	if !t.full(now) {
+		d.events = append(d.events, Event{Kind: EventTargetFull, target: t, Silence: t.health.silence(now)})
+	}
+	t.fullAt = now
+}
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -32,6 +32,8 @@
 type Backend struct {
 	Service string
 	Weight  float64
+	// Connections is how many flows a target of the service holds, 0 when that is not stated.
+	Connections int
 }
 
 // RouteSet is one version of the configuration.
@@ -47,6 +49,8 @@
 	version uint64
 	idle    time.Duration
 	current map[protocol.Endpoint]*Route
+	// connections is how many flows a target holds, by service.
+	connections map[string]int
 	// services are the services that any version allowed on an address. Open
 	// flows stay at their target when the route moves to another service.
 	services map[protocol.Endpoint]map[string]bool
@@ -75,6 +79,7 @@
 		t.first = set.Version
 	}
 	t.current = make(map[protocol.Endpoint]*Route, len(set.Routes))
+	t.connections = make(map[string]int)
 	for _, r := range set.Routes {
 		r.use = &routeUse{}
 		if old := former[r.Address]; old != nil {
@@ -85,6 +90,9 @@
 		}
 		t.current[r.Address] = r
 		t.allow(r)
+		for _, b := range r.Backends {
+			t.connections[b.Service] = b.Connections
+		}
 	}
 	for address := range former {
 		if t.current[address] == nil {
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -67,13 +67,17 @@
 	// changed is the registry's change counter when the target last changed in a way that matters to others.
 	changed uint64
 
-	// open and running count the flows and the requests in progress of this balancer.
+	// open and running count the flows and the requests in progress of this balancer,
+	// closed those of the flows that their callers have closed.
 	open    int
+	closed  int
 	running int
 	// idleLoad is the expected number of requests in progress on the open flows that have none now.
 	idleLoad float64
 
 	health health
+	// fullAt is when the target last left an opener unanswered that it may have had no room for.
+	fullAt time.Time
 }
 
 // usable reports whether the target may take new flows.
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -38,7 +38,11 @@
 			TimeoutMs: r.Timeout.Milliseconds(),
 		}
 		for _, b := range r.Backends {
-			route.Backends = append(route.Backends, &wire.FeedBackend{Service: b.Service, Weight: b.Weight})
+			route.Backends = append(route.Backends, &wire.FeedBackend{
+				Service:     b.Service,
+				Weight:      b.Weight,
+				Connections: uint32(b.Connections),
+			})
 		}
 		response.Changed = append(response.Changed, route)
 	}
@@ -57,7 +61,11 @@
 		}
 		r := &dsr.Route{Name: route.GetName(), Address: address, Timeout: milliseconds(route.GetTimeoutMs())}
 		for _, b := range route.GetBackends() {
-			r.Backends = append(r.Backends, dsr.Backend{Service: b.GetService(), Weight: b.GetWeight()})
+			r.Backends = append(r.Backends, dsr.Backend{
+				Service:     b.GetService(),
+				Weight:      b.GetWeight(),
+				Connections: int(b.GetConnections()),
+			})
 		}
 		d.Changed = append(d.Changed, r)
 	}
