Keep the evidence about targets in a file of its own, and log how much of it is enough

Each line about a silent target tells how many unanswered packets show it to be dead, and the metrics the estimated share of lost packets. No decision is changed.

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -145,13 +145,15 @@
 type Gauges struct {
 	Flows, Targets, Suspected int
 	RoutesVersion, Revision   uint64
+	// LossShare is the estimated share of packets that are lost.
+	LossShare float64
 }
 
 // Gauges returns the sizes of the state.
 func (d *Dispatcher) Gauges() Gauges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, Revision: d.targets.revision}
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, Revision: d.targets.revision, LossShare: d.loss.share()}
 	for _, targets := range d.targets.services {
 		for _, t := range targets {
 			g.Targets++
@@ -301,68 +303,3 @@
 	}
 	return forward
 }
-
-// alive notes that a target answered a packet that was sent at a time.
-func (d *Dispatcher) alive(now time.Time, t *Target, sent time.Time) {
-	if sent.After(d.answeredTo) {
-		d.answeredTo = sent
-	}
-	d.loss.lost(t.health.lostPackets(now))
-	if t.health.alive(now) {
-		d.events = append(d.events, Event{Kind: EventTargetAlive, target: t})
-	}
-}
-
-// unanswered notes that a packet sent at a time was not answered. Signs of life after
-// the packet outweigh it.
-func (d *Dispatcher) unanswered(now time.Time, f *flow, t *Target, sent time.Time) {
-	if !f.sentAgain(now, sent) {
-		return
-	}
-	if !t.health.aliveAt.Before(sent) {
-		d.loss.lost(1)
-		return
-	}
-	t.health.sentAgain(now)
-	if !d.provesSilence(sent) {
-		return
-	}
-	enough := d.loss.strikes()
-	if t.health.strikes+1 >= enough {
-		enough += d.weakness(now, t)
-	}
-	if t.health.strike(now, d.options.DeadTime, enough) {
-		d.events = append(d.events, Event{Kind: EventTargetSuspected, target: t, Silence: t.health.silence(now)})
-	}
-}
-
-// sentAgain reports whether a packet that was sent at a time counts as sent again.
-func (f *flow) sentAgain(now, sent time.Time) bool {
-	if now.Sub(sent) < repeatAge || now.Sub(f.struckAt) < repeatAge {
-		return false
-	}
-	f.struckAt = now
-	return true
-}
-
-// provesSilence reports whether a packet sent at a time should have been answered:
-// one that was sent later has been. Otherwise the balancer's own link may be down or
-// its queue long, or the process did not run.
-func (d *Dispatcher) provesSilence(sent time.Time) bool {
-	return !sent.Before(d.evidenceFrom) && d.answeredTo.After(sent)
-}
-
-// dead reports whether the target of an open flow can no longer answer, so that
-// the caller gains by opening another flow at once.
-func (d *Dispatcher) dead(now time.Time, t *Target, p Packet) (Reason, bool) {
-	if p.Bytes == 0 || p.Fin {
-		return "", false
-	}
-	if t.health.dark(now, d.options.DeadTime) {
-		return ReasonTargetSilent, true
-	}
-	if !t.gone.IsZero() && t.health.struck(now) {
-		return ReasonTargetGone, true
-	}
-	return "", false
-}
--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -33,6 +33,9 @@
 type Silence struct {
 	For     time.Duration
 	Strikes int
+	// Enough is the number of unanswered packets that shows the target to be dead, 0
+	// when the balancer itself seems to be at fault.
+	Enough int
 }
 
 // health is the evidence about one target.
@@ -49,6 +52,7 @@
 	// dead is set when enough packets in a row were left unanswered; it holds for the
 	// dead time after the last one.
 	dead        bool
+	enough      int
 	suspectedAt time.Time
 	trialAt     time.Time
 }
@@ -93,6 +97,7 @@
 	}
 	h.strikes++
 	h.struckAt = now
+	h.enough = enough
 	h.dead = stillDead || h.strikes >= enough
 	if h.suspected() {
 		return false
@@ -127,6 +132,9 @@
 // silence describes the evidence.
 func (h *health) silence(now time.Time) Silence {
 	s := Silence{Strikes: h.strikes}
+	if h.enough < never {
+		s.Enough = h.enough
+	}
 	if !h.aliveAt.IsZero() {
 		s.For = now.Sub(h.aliveAt)
 	}
--- a/internal/coordination/dsr/loss.go
+++ b/internal/coordination/dsr/loss.go
@@ -22,14 +22,8 @@
 	// second, or the burst would be lost in them.
 	priorPackets = 20
 	priorLost    = 0.02
-	// ownFaultLeast is the number of targets with traffic from which the silence of
-	// most of them is put down to the balancer. Of three, two dead ones are not rare.
-	ownFaultLeast = 4
 )
 
-// never is more unanswered packets than any target leaves.
-const never = math.MaxInt32
-
 // lossEstimate is the share of packets that do not arrive, or whose answer does not,
 // although their target lives. A loss on the way and a full queue of the
 // balancer's own link look alike here, and both make silence weaker evidence.
@@ -74,46 +68,3 @@
 	share := min(l.share(), 0.9)
 	return max(strikesToReset, int(math.Ceil(math.Log(accidentLimit)/math.Log(share)-1e-9)))
 }
-
-// weakness returns how many more unanswered packets it takes to show that a target is
-// dead, because other targets leave packets unanswered at the same time. If most
-// do, the balancer's own link or processor is overloaded. The targets of the own
-// place decide, because the links to other places may be cut.
-func (d *Dispatcher) weakness(now time.Time, suspect *Target) int {
-	var near, all census
-	for _, targets := range d.targets.services {
-		for _, t := range targets {
-			all.count(now, t)
-			if t.Place == d.options.Place {
-				near.count(now, t)
-			}
-		}
-	}
-	seen := near
-	if near.active < ownFaultLeast {
-		seen = all
-	}
-	if seen.active >= ownFaultLeast && 2*seen.struck > seen.active {
-		return never
-	}
-	if near.active < ownFaultLeast {
-		return 0
-	}
-	if suspect.Place == d.options.Place && suspect.health.struck(now) {
-		near.struck--
-	}
-	return near.struck
-}
-
-// census counts targets with traffic, and those of them that left packets unanswered.
-type census struct{ active, struck int }
-
-func (c *census) count(now time.Time, t *Target) {
-	switch {
-	case t.health.struck(now):
-		c.active++
-		c.struck++
-	case now.Sub(t.health.aliveAt) <= strikeMemory:
-		c.active++
-	}
-}
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -30,9 +30,7 @@
 	if d.To.ID != "" {
 		keyvals = append(keyvals, "target", d.To.ID, "entry", d.To.Revision)
 	}
-	if d.Silence.Strikes > 0 {
-		keyvals = append(keyvals, "silent_ms", d.Silence.For.Milliseconds(), "unanswered", d.Silence.Strikes)
-	}
+	keyvals = append(keyvals, silenceOf(d.Silence)...)
 	keyvals = append(keyvals, "config", d.Version, "listing_age_ms", d.ListingAge.Milliseconds())
 	n.log(level.Info, "decide", "packet", keyvals...)
 }
@@ -45,9 +43,15 @@
 		if e.About.ID != "" {
 			keyvals = append(keyvals, "target", e.About.ID, "address", e.About.Endpoint, "pool", e.About.Service)
 		}
-		if e.Silence.Strikes > 0 {
-			keyvals = append(keyvals, "silent_ms", e.Silence.For.Milliseconds(), "unanswered", e.Silence.Strikes)
-		}
+		keyvals = append(keyvals, silenceOf(e.Silence)...)
 		n.log(level.Info, "belief", "changed", keyvals...)
 	}
 }
+
+// silenceOf returns the evidence against a target, if there is any.
+func silenceOf(s dsr.Silence) []any {
+	if s.Strikes == 0 {
+		return nil
+	}
+	return []any{"silent_ms", s.For.Milliseconds(), "unanswered", s.Strikes, "enough", s.Enough}
+}
