--- a/internal/coordination/caller.go
+++ b/internal/coordination/caller.go
@@ -35,7 +35,7 @@
 		return drop(ReasonUnexpected)
 	case isEnd(p.Kind):
 		return d.callerEnd(c)
-	case d.fromTakenAnswer(c):
+	case d.undecidedInitial(c):
 		return d.laterInitial(c)
 	case c.known && d.trusts(c):
 		d.save(c)
--- a/internal/coordination/dsr/evidence.go
+++ b/internal/coordination/dsr/evidence.go
@@ -95,18 +95,17 @@
 			}
 		}
 	}
-	seen := near
 	if near.active < ownFaultLeast {
-		seen = all
+		if all.mostStruck() {
+			return never
+		}
+		return 0
 	}
-	if seen.active >= ownFaultLeast && 2*seen.struck > seen.active {
+	if near.mostStruck() {
 		return never
 	}
-	if near.active < ownFaultLeast {
-		return 0
-	}
 	if suspect.Place == d.options.Place && suspect.health.struck(now) {
-		near.struck--
+		return near.struck - 1
 	}
 	return near.struck
 }
@@ -114,6 +113,8 @@
 // census counts targets with traffic, and those of them that left packets unanswered.
 type census struct{ active, struck int }
 
+func (c *census) mostStruck() bool { return c.active >= ownFaultLeast && 2*c.struck > c.active }
+
 func (c *census) count(now time.Time, t *Target) {
 	switch {
 	case t.health.struck(now):
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -56,6 +56,7 @@
 // open adds a flow for an opener that is forwarded.
 func (d *Dispatcher) open(now time.Time, p Packet, route *Route, t *Target) {
 	f := &flow{route: route, openerSeq: p.Seq, sent: p.Seq + 1, sentAt: now}
+	d.loss.sent()
 	if d.add(now, p.Flow, f) {
 		f.move(t)
 		f.start(now, p.Seq+1)
--- a/internal/coordination/rival.go
+++ b/internal/coordination/rival.go
@@ -84,9 +84,9 @@
 	return !e.Has(state.FlagAnswerTag) || e.AnswerTag != p.Tag
 }
 
-// fromTakenAnswer reports whether a packet is a later Initial of a flow whose
-// caller may have taken the answer of another target than the bound one.
-func (d *Dispatcher) fromTakenAnswer(c *packetContext) bool {
+// undecidedInitial reports whether a packet is a later Initial on a tentative
+// binding: the caller may have taken the answer of another target.
+func (d *Dispatcher) undecidedInitial(c *packetContext) bool {
 	e, p := &c.entry, &c.in.Packet
 	if !p.LaterInitial || !c.strong() || !e.Bound() || e.Strength != state.StrengthTentative {
 		return false
