--- a/internal/coordination/dsr/loss_test.go
+++ b/internal/coordination/dsr/loss_test.go
@@ -20,7 +20,15 @@
 	sent   int
 }
 
-func (n *lossyNetwork) lost() bool { return n.random.Float64() < n.loss }
+// answered reports whether a packet and its answer both arrive.
+func (n *lossyNetwork) answered() bool {
+	for range 2 {
+		if n.random.Float64() < n.loss {
+			return false
+		}
+	}
+	return true
+}
 
 // exchange is one request of a flow in progress: when it was sent, and its copies.
 type exchange struct {
@@ -66,7 +74,7 @@
 		x.c = nil
 		return
 	}
-	x.done = !n.lost() && !n.lost() // the packet and its answer
+	x.done = n.answered()
 	x.nextAt = n.now.Add(x.wait)
 	if x.done {
 		x.nextAt = n.now.Add(20 * time.Millisecond)
