Read the limit of flows in one place, and take announcements in one function

The choice of a target read the limit from the route's backend, the judgement of an unanswered opener from the table of services; both read the table now. A listing and a delta of the feed added their targets with the same loop. No decision is changed.

--- a/internal/coordination/dsr/choose.go
+++ b/internal/coordination/dsr/choose.go
@@ -21,7 +21,7 @@
 // choose returns the target for a new flow of a route, or nil when no target may take it.
 func (d *Dispatcher) choose(now time.Time, r *Route, flow uint64, excluded []*Target) *Target {
 	for _, b := range r.order(flow) {
-		if t := d.chooseOf(now, b, flow, excluded); t != nil {
+		if t := d.chooseOf(now, b.Service, flow, excluded); t != nil {
 			return t
 		}
 	}
@@ -31,11 +31,12 @@
 // chooseOf returns the least loaded target of a service that has room, as far as is
 // known. Suspected targets are passed over unless all others are full or suspected;
 // one of them gets a trial flow from time to time.
-func (d *Dispatcher) chooseOf(now time.Time, b Backend, flow uint64, excluded []*Target) *Target {
+func (d *Dispatcher) chooseOf(now time.Time, service string, flow uint64, excluded []*Target) *Target {
 	var best, suspect *Target
 	lowest, lowestSuspect := math.Inf(1), math.Inf(1)
-	for _, t := range d.targets.services[b.Service] {
-		if !t.usable() || !t.hasRoom(now, b.Connections) || slices.Contains(excluded, t) {
+	limit := d.routes.connections[service]
+	for _, t := range d.targets.services[service] {
+		if !t.usable() || !t.hasRoom(now, limit) || slices.Contains(excluded, t) {
 			continue
 		}
 		load := d.load(now, t, flow)
--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -73,11 +73,7 @@
 		return false, []Event{{Kind: EventListingIgnored, Revision: delta.Revision}}
 	}
 	g.listed, g.revision = true, delta.Revision
-	present := make(map[string]bool, len(delta.Targets))
-	for _, a := range delta.Targets {
-		present[a.ID] = true
-		events = append(events, g.take(now, a)...)
-	}
+	present, events := g.takeAll(now, delta.Targets)
 	ended := delta.Gone
 	if delta.Full {
 		ended = g.missing(present)
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -148,18 +148,23 @@
 	}
 	g.listed, g.listedAt, g.revision = true, now, l.Revision
 	g.readings++
-	var events []Event
-	present := make(map[string]bool, len(l.Targets))
-	for _, a := range l.Targets {
-		present[a.ID] = true
-		events = append(events, g.take(now, a)...)
-	}
+	present, events := g.takeAll(now, l.Targets)
 	events = append(events, g.dropAbsent(now, present)...)
 	g.forget(now)
 	g.index()
 	return events
 }
 
+// takeAll adds or updates targets and returns their IDs.
+func (g *registry) takeAll(now time.Time, targets []Announcement) (present map[string]bool, events []Event) {
+	present = make(map[string]bool, len(targets))
+	for _, a := range targets {
+		present[a.ID] = true
+		events = append(events, g.take(now, a)...)
+	}
+	return present, events
+}
+
 // take adds or updates one target.
 func (g *registry) take(now time.Time, a Announcement) []Event {
 	t := g.byID[a.ID]
