Share the flows and exchanges of the tests about evidence

Two tests opened a flow at a given target with a loop of their own beside lively, and nine places spelled out a request with its answer.

--- a/internal/coordination/dsr/full_test.go
+++ b/internal/coordination/dsr/full_test.go
@@ -30,15 +30,13 @@
 		}
 	}
 	b.wait(200 * time.Millisecond)
-	other.request(10)
-	other.answered(10)
+	other.exchange()
 	for _, w := range waiting {
 		w.opener()
 	}
 	c.request(100)
 	b.wait(200 * time.Millisecond)
-	other.request(10)
-	other.answered(10)
+	other.exchange()
 	assert.Equal(t, c.again(100).Action, ActionForward, "one lost packet on a flow of a full target")
 }
 
--- a/internal/coordination/dsr/harness_test.go
+++ b/internal/coordination/dsr/harness_test.go
@@ -133,6 +133,11 @@
 func (c *call) open() *call {
 	d := c.opener()
 	assert.Equal(c.b.t, d.Action, ActionForward, "%s", d.Reason)
+	return c.acknowledge()
+}
+
+// acknowledge acknowledges the answer to the opener.
+func (c *call) acknowledge() *call {
 	c.seq++
 	c.ack = 5001
 	c.packet(c.seq, 0)
@@ -152,6 +157,12 @@
 	return c.packet(c.seq, 0)
 }
 
+// exchange sends a request and acknowledges its answer.
+func (c *call) exchange() {
+	c.request(10)
+	c.answered(10)
+}
+
 // again sends the last bytes once more.
 func (c *call) again(bytes int) Decision {
 	return c.packet(c.seq-uint32(bytes), bytes)
@@ -164,15 +175,21 @@
 
 // lively opens a flow to another target than one, which shows signs of life when asked.
 func (b *bench) lively(other *Target) *call {
+	return b.openWhere(func(t *Target) bool { return t != other })
+}
+
+// openAt opens a flow to a target.
+func (b *bench) openAt(target *Target) *call {
+	return b.openWhere(func(t *Target) bool { return t == target })
+}
+
+// openWhere opens flows until the target of one is wanted. The others stay unanswered.
+func (b *bench) openWhere(wanted func(*Target) bool) *call {
 	for range 100 {
-		c := b.dial(0)
-		if c.opener().target != other {
-			c.seq++
-			c.ack = 5001
-			c.packet(c.seq, 0)
-			return c
+		if c := b.dial(0); wanted(c.opener().target) {
+			return c.acknowledge()
 		}
 	}
-	b.t.Fatal("all flows go to one target")
+	b.t.Fatal("no flow goes to a wanted target")
 	return nil
 }
--- a/internal/coordination/dsr/health_test.go
+++ b/internal/coordination/dsr/health_test.go
@@ -34,8 +34,7 @@
 	c.request(100)
 	for range 2 {
 		b.wait(200 * time.Millisecond)
-		other.request(10)
-		other.answered(10)
+		other.exchange()
 		if d := c.again(100); d.Action == ActionReset {
 			assert.Equal(t, d.Reason, ReasonTargetSilent)
 			return
@@ -49,19 +48,13 @@
 func deadWithIdleFlow(t *testing.T) (b *bench, idle *call) {
 	b = newBench(t, 3)
 	c := b.dial(0).open()
-	idle = b.dial(0)
-	for idle.opener().target != c.target {
-		idle = b.dial(0)
-	}
-	idle.seq, idle.ack = idle.seq+1, 5001
-	idle.packet(idle.seq, 0)
+	idle = b.openAt(c.target)
 	other := b.lively(c.target)
 	b.wait(time.Second)
 	c.request(100)
 	for range 2 {
 		b.wait(250 * time.Millisecond)
-		other.request(10)
-		other.answered(10)
+		other.exchange()
 		c.again(100)
 	}
 	return b, idle
@@ -126,23 +119,17 @@
 // that are far apart: a balancer of a large fleet sees few packets of one target.
 func TestOldLossesDoNotAddUp(t *testing.T) {
 	b := newBench(t, 3)
-	first, second := b.dial(0).open(), b.dial(0)
-	for second.opener().target != first.target {
-		second = b.dial(0)
-	}
-	second.seq, second.ack = second.seq+1, 5001
-	second.packet(second.seq, 0)
+	first := b.dial(0).open()
+	second := b.openAt(first.target)
 	other := b.lively(first.target)
 	b.wait(time.Second)
 	for _, c := range []*call{first, second} {
 		c.request(100)
 		b.wait(200 * time.Millisecond)
-		other.request(10)
-		other.answered(10)
+		other.exchange()
 		assert.Equal(t, c.again(100).Action, ActionForward)
 		b.wait(5 * time.Second)
-		other.request(10)
-		other.answered(10)
+		other.exchange()
 	}
 	assert.Equal(t, first.request(100).Action, ActionForward)
 }
@@ -188,8 +175,7 @@
 	c := b.dial(0)
 	c.opener()
 	b.wait(200 * time.Millisecond)
-	live.request(10)
-	live.answered(10)
+	live.exchange()
 	d := c.opener()
 	assert.Equal(t, d.Reason, ReasonRepeated)
 	assert.Equal(t, d.target, live.target)
--- a/internal/coordination/dsr/loss_test.go
+++ b/internal/coordination/dsr/loss_test.go
@@ -118,8 +118,7 @@
 		reset := false
 		for range n.d.loss.strikes() {
 			n.wait(200 * time.Millisecond)
-			other.request(10)
-			other.answered(10)
+			other.exchange()
 			reset = dead.again(100).Action == ActionReset
 		}
 		assert.Assert(t, reset, "loss %v", loss)
@@ -186,8 +185,7 @@
 	for range 3 {
 		b.wait(250 * time.Millisecond)
 		for _, c := range byPlace["a"] {
-			c.request(10)
-			c.answered(10)
+			c.exchange()
 		}
 		for _, c := range cut {
 			if c.again(100).Action == ActionReset {
