--- a/internal/coordination/dsr/loss_test.go
+++ b/internal/coordination/dsr/loss_test.go
@@ -195,3 +195,18 @@
 	}
 	assert.Assert(t, resets >= len(cut), "%d resets for %d flows", resets, len(cut))
 }
+
+// Guards against resets of flows whose target lives, by a balancer that has just
+// started on a network that loses packets and has not seen any loss yet.
+func TestSteadyLossResetsNoFlowAfterAStart(t *testing.T) {
+	if testing.Short() {
+		t.Skip("statistical, in one goroutine")
+	}
+	resets, sent := 0, 0
+	for seed := range uint64(2000) {
+		n, calls := newLossyNetwork(t, 0.01, seed)
+		n.play(calls, 60, 5*time.Second)
+		resets, sent = resets+n.resets, sent+n.sent
+	}
+	assert.Equal(t, resets, 0, "%d requests", sent)
+}
