Take packets only when the other balancers are known

Spans of a failed run show a balancer that had a configuration 0.2 s after its start and knew nobody. It took itself for the owner of all flows, sent packets of flows that others had opened to the choice of its table, and took the stateless reset of that target for data, so the flow moved there.

Ruled out: load alone (eight at once before and after), the fabric (it sends only to balancers that answer).

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -73,6 +73,8 @@
 	Reports  []coordination.TargetReport // when NewReports
 	// NewReports tells that Reports replaces the earlier ones.
 	NewReports bool
+	// Joined is set once, when this balancer knows the others well enough to take packets.
+	Joined bool
 }
 
 // Agent is the control plane of one balancer. It is not safe for concurrent use.
@@ -86,6 +88,7 @@
 	nextReports  time.Time
 	exchanges    []netip.AddrPort
 	snapshot     *follower.Snapshot
+	join         join
 	// events are the recent changes of members, configuration and alarms.
 	events journal.Log
 	view   coordination.View
@@ -100,6 +103,7 @@
 		follower:     follower.New(cfg.Follower),
 		health:       health.New(cfg.Health),
 		nextExchange: now,
+		join:         join{started: now},
 	}
 }
 
@@ -107,6 +111,8 @@
 func (a *Agent) Tick(now time.Time) Output {
 	out := Output{Messages: a.members.Tick(now)}
 	a.updateView(now, &out)
+	_, contacts := a.members.RandomContact()
+	out.Joined = a.join.update(now, a.members.Live(), contacts)
 	a.noteAlarms(now)
 	out.Commands = a.follower.Tick(now)
 	out.Checks = a.health.Tick(now)
@@ -146,6 +152,7 @@
 func (a *Agent) HandleVMs(now time.Time, list []platform.VM, err error) {
 	a.follower.HandleVMs(now, len(list), err)
 	if err == nil {
+		a.join.listed = true
 		a.members.SetVMs(now, list)
 	}
 }
@@ -171,6 +178,7 @@
 		return
 	}
 	view := a.members.View()
+	a.join.viewAt = now
 	a.noteView(now, view)
 	a.follower.SetView(view)
 	a.health.SetView(now, view)
--- a/internal/coordination/agent/exchange.go
+++ b/internal/coordination/agent/exchange.go
@@ -8,8 +8,8 @@
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 )
 
-// planExchanges asks for exchanges: regularly, after a freeze, with members
-// that came back, and with seeds while this balancer is alone.
+// planExchanges asks for exchanges: regularly, more often until this balancer has
+// joined, after a freeze, with members that came back, and with seeds while it is alone.
 func (a *Agent) planExchanges(now time.Time) {
 	a.exchanges = append(a.exchanges, a.members.Healed()...)
 	if a.members.Froze() {
@@ -20,7 +20,7 @@
 	}
 	if a.members.Live() > 1 {
 		a.exchangeWithPeer()
-		a.nextExchange = now.Add(exchangeInterval)
+		a.nextExchange = now.Add(a.exchangePause())
 		return
 	}
 	if seed, ok := a.members.RandomContact(); ok {
@@ -29,6 +29,13 @@
 	a.nextExchange = now.Add(seedInterval)
 }
 
+func (a *Agent) exchangePause() time.Duration {
+	if !a.join.joined {
+		return joinInterval
+	}
+	return exchangeInterval
+}
+
 func (a *Agent) exchangeWithPeer() {
 	if _, addr, ok := a.members.RandomPeer(); ok {
 		a.exchanges = append(a.exchanges, addr)
--- /dev/null
+++ b/internal/coordination/agent/join_test.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/platform"
+)
+
+// joinTimes runs a cluster in steps and returns when each balancer joined.
+func (c *cluster) joinTimes(d time.Duration) map[string]time.Duration {
+	start, times := c.now, map[string]time.Duration{}
+	for c.now.Sub(start) < d {
+		c.run(10 * time.Millisecond)
+		for _, n := range c.nodes {
+			if _, known := times[n.vm]; !known && !n.dead && n.join.joined {
+				times[n.vm] = c.now.Sub(start)
+			}
+		}
+	}
+	return times
+}
+
+// Guards against balancers that take packets while they know nobody: in a fleet
+// that starts, one that thought itself alone guessed the targets of flows that the
+// others had opened, and uploads broke.
+func TestStartingBalancersJoinBeforePackets(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, 7, seed)
+		for c.now.Before(time.Unix(1_700_000_000, 0).Add(5 * time.Second)) {
+			c.run(10 * time.Millisecond)
+			for _, n := range c.nodes {
+				assert.Assert(t, !n.join.joined || len(n.view) == len(c.nodes), "seed %d: %s joined and knows %d", seed, n.vm, len(n.view))
+			}
+		}
+		for _, n := range c.nodes {
+			assert.Assert(t, n.join.joined, "seed %d: %s", seed, n.vm)
+		}
+	}
+}
+
+// Guards against a balancer that never takes packets because no other one answers,
+// as in a place that is cut off.
+func TestBalancerWithoutAnswersServesAlone(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.nodes[0].dead, c.nodes[1].dead = true, true
+	times := c.joinTimes(joinTime + time.Second)
+	assert.Equal(t, len(times), 1)
+	assert.Assert(t, times["vm-002"] >= joinTime)
+}
+
+// Guards against a balancer that waits for others where there are none.
+func TestOnlyBalancerJoinsAtOnce(t *testing.T) {
+	j := join{started: time.Unix(0, 0)}
+	assert.Assert(t, !j.update(j.started, 1, false), "the VM list was not read")
+	c := newCluster(t, 1, 1)
+	c.noSeeds = true
+	c.boot(c.nodes[0])
+	c.nodes[0].HandleVMs(c.now, []platform.VM{{Name: "vm-000"}}, nil)
+	assert.Assert(t, c.joinTimes(time.Second)["vm-000"] <= 100*time.Millisecond)
+}
--- a/internal/transport/balancer.go
+++ b/internal/transport/balancer.go
@@ -61,6 +61,8 @@
 	stats    *stats
 	// fabricSeen is the time of the last packet from the fabric, in nanoseconds since started.
 	fabricSeen atomic.Int64
+	// joined is set when the other balancers are known; before, keepalives of the fabric are not answered.
+	joined atomic.Bool
 	// leaving stops the answers to keepalives of the fabric.
 	leaving atomic.Bool
 }
--- a/internal/transport/balancer_test.go
+++ b/internal/transport/balancer_test.go
@@ -143,6 +143,9 @@
 	h.send(h.fabric, keepalive) // unanswered without a configuration
 	h.forward()
 	h.b.table.Store(&state.Table{})
+	h.send(h.fabric, keepalive) // unanswered without knowledge of the other balancers
+	h.forward()
+	h.b.joined.Store(true)
 	h.send(h.fabric, keepalive)
 	assert.Assert(t, protocol.IsKeepalive(h.receive(h.fabric)))
 	stopped := make(chan struct{})
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -49,6 +49,8 @@
 
 	// OnView is called when the set of live members changes.
 	OnView func(coordination.View)
+	// OnJoined is called once, when this balancer knows the others well enough to take packets.
+	OnJoined func()
 	// OnSnapshot is called when a higher generation comes into force.
 	OnSnapshot func(Snapshot)
 	// OnReports is called when the health or load view changes, and every 5 s.
--- a/internal/transport/control/loop.go
+++ b/internal/transport/control/loop.go
@@ -55,6 +55,9 @@
 	if out.View != nil && p.options.OnView != nil {
 		p.options.OnView(*out.View)
 	}
+	if out.Joined {
+		p.joined()
+	}
 	if out.Snapshot != nil {
 		p.putInForce(Snapshot{
 			Generation: out.Snapshot.Head.Generation,
@@ -76,6 +79,13 @@
 	}
 }
 
+func (p *Plane) joined() {
+	_ = level.Info(p.logger).Log("op", "join", "msg", "balancers of the fleet known", "live", p.agent.Counters()["membership_live"])
+	if p.options.OnJoined != nil {
+		p.options.OnJoined()
+	}
+}
+
 func (p *Plane) putInForce(s Snapshot) {
 	p.inForce = s
 	_ = level.Info(p.logger).Log("op", "adopt", "msg", "configuration in force", "generation", s.Generation, "digest", s.Digest)
--- a/internal/transport/process.go
+++ b/internal/transport/process.go
@@ -139,6 +139,7 @@
 		Logger:     b.logger,
 		Seed:       seed,
 		OnView:     b.SetView,
+		OnJoined:   func() { b.joined.Store(true) },
 		OnSnapshot: b.adopt,
 		OnReports:  func(r []coordination.TargetReport) { b.core.SetReports(b.now(), r) },
 		OnHandoff:  func(bindings []state.Binding) int { return b.core.AcceptHandoff(b.now(), bindings) },
--- a/internal/transport/worker.go
+++ b/internal/transport/worker.go
@@ -105,13 +105,14 @@
 }
 
 // answerKeepalive tells the fabric that this balancer takes packets. A balancer
-// without configuration, or one that leaves, stays silent, and the fabric sends to others.
+// without configuration or without knowledge of the others, or one that leaves,
+// stays silent, and the fabric sends to others.
 func (w *worker) answerKeepalive(from netip.AddrPort) {
 	if from != w.b.settings.FabricAddress {
 		w.b.stats.drop(reasonNotFabric)
 		return
 	}
-	if w.b.leaving.Load() || w.b.table.Load() == nil {
+	if w.b.leaving.Load() || !w.b.joined.Load() || w.b.table.Load() == nil {
 		return
 	}
 	w.out = protocol.AppendKeepalive(w.out[:0])
