Let a fresh balancer learn how clean the network is before two packets show a dead target

Cause: a balancer that has just started has seen no loss, so two unanswered packets were enough for it to reset open flows.

Change: until it has sent 400 packets, a balancer assumes a loss of 2 %.

--- a/internal/coordination/dsr/harness_test.go
+++ b/internal/coordination/dsr/harness_test.go
@@ -22,9 +22,17 @@
 	nextPort uint16
 }
 
-// newBench returns a dispatcher in place a, with a route to each service and
-// the given number of targets of service web in places a, b and c by turns.
+// newBench returns a dispatcher that has run for a while on a network without
+// loss, in place a, with a route to each service and the given number of targets of
+// service web in places a, b and c by turns.
 func newBench(t *testing.T, targets int) *bench {
+	b := newFreshBench(t, targets)
+	b.d.loss.seen = learnPackets
+	return b
+}
+
+// newFreshBench returns the same with a dispatcher that has just started.
+func newFreshBench(t *testing.T, targets int) *bench {
 	b := &bench{
 		t:        t,
 		d:        NewDispatcher(Options{Place: "a", FlowLife: time.Minute}),
--- a/internal/coordination/dsr/loss.go
+++ b/internal/coordination/dsr/loss.go
@@ -23,12 +23,24 @@
 	// second, or the burst would be lost in them.
 	priorPackets = 20
 	priorLost    = 0.006
+	// startShare is the least share that is assumed until learnPackets packets have
+	// shown how clean the network is: that of a network that loses 1 % each way. A
+	// balancer that had just started there, and knew of no loss, took two accidents in
+	// a row for the death of a target.
+	startShare = 0.0199
+	// learnPackets is how many packets a network with startShare lets pass without a
+	// loss once in 3,000 starts: (1-startShare)^400.
+	learnPackets = 400
 )
 
 // lossEstimate is the share of packets that do not arrive, or whose answer does not,
 // although their target lives. A loss on the way and a full queue of the
 // balancer's own link look alike here, and both make silence weaker evidence.
-type lossEstimate struct{ steady, burst lossCount }
+type lossEstimate struct {
+	steady, burst lossCount
+	// seen counts the packets since the start.
+	seen int
+}
 
 // lossCount counts packets, and those of them that were lost.
 type lossCount struct{ packets, lost float64 }
@@ -54,8 +66,12 @@
 func (l *lossEstimate) sent() {
 	l.steady.packets++
 	l.burst.packets++
+	l.seen++
 }
 
+// learned reports whether the packets since the start tell how clean the network is.
+func (l *lossEstimate) learned() bool { return l.seen >= learnPackets }
+
 // lost counts packets that were lost.
 func (l *lossEstimate) lost(packets int) {
 	l.steady.lost += float64(packets)
@@ -63,7 +79,13 @@
 }
 
 // share is the higher estimate.
-func (l *lossEstimate) share() float64 { return max(l.steady.share(), l.burst.share()) }
+func (l *lossEstimate) share() float64 {
+	share := max(l.steady.share(), l.burst.share())
+	if !l.learned() {
+		share = max(share, startShare)
+	}
+	return share
+}
 
 // strikes returns how many unanswered packets in a row are taken for the death of a target.
 func (l *lossEstimate) strikes() int {
