Refuse openers beyond a limit while the targets of a service answer slowly

A balancer admitted every opener.

Change: a balancer bounds its requests in progress at an overloaded service by the rate of answers and the time that they may take, never below its part of the slots. Less urgent routes are refused first. Latency targets and priorities of routes are read and passed on.

--- /dev/null
+++ b/internal/coordination/dsr/admission.go
@@ -0,0 +1,190 @@
+package dsr
+
+import (
+	"math"
+	"time"
+
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
+)
+
+// When callers ask for more than the targets can do, the targets' queues fill up:
+// they answer as many requests as with short queues, but nearly all of them late.
+// A balancer therefore bounds its requests in progress at an overloaded service and
+// refuses openers beyond, less urgent ones first. It sees neither the queues nor the
+// flows of other balancers, so the bound follows from how long answers take.
+
+const (
+	// waitShare is the part of the latency target that an answer may take on average in
+	// an overload, so that most are on time. Longer ones are slow.
+	waitShare = 0.6
+	// slowWeight is the weight of one answer in the share of slow ones. In an overload,
+	// a balancer of a small site sees a hundred answers of a service a second.
+	slowWeight = 0.05
+	// overloadBegin is the share of slow answers from which a service counts as
+	// overloaded, overloadEnd the one below which it may no longer be. With fewer slow ones than half, some
+	// targets may be slow by themselves while others have free slots.
+	overloadBegin = 0.5
+	overloadEnd   = 0.2
+	// limitNear is the part of the limit at which it still holds without slow answers.
+	limitNear = 0.5
+	// shedShare is the part of the time that an answer may take below which the target
+	// did not run the request, but refused it because its queue is full.
+	shedShare = 0.1
+	// rateMemory is the time after which an answer counts for 1/e in the rate of answers.
+	rateMemory = time.Second
+	// urgentDepth is the number of requests in progress for each slot up to which a route
+	// is admitted that is more urgent than another one of its service.
+	urgentDepth = 3
+	// lessUrgentShare is the part of the limit that is open to the other one.
+	lessUrgentShare = 0.7
+	// routeLeast is the number of requests in progress that any route may have, so that
+	// a route that is new or little used is never refused.
+	routeLeast = 2
+	// answerGap is the time since the last tick from which the age of an answer proves
+	// nothing, because the process may not have run.
+	answerGap = 250 * time.Millisecond
+)
+
+// Load is what a balancer knows about the load of a service.
+type Load struct {
+	// Slow is the share of slow answers.
+	Slow float64
+	// Rate is the number of answers in a second, without requests that did not run.
+	Rate float64
+	// May is how long an answer may take on average.
+	May time.Duration
+	// Running is the number of this balancer's requests in progress, Limit their
+	// bound, 0 for none.
+	Running int
+	Limit   float64
+	// Slots is this balancer's part of the slots of the service.
+	Slots float64
+
+	// answers counts the answers since the last tick.
+	answers int
+}
+
+// noteAnswer notes the time of an answer to a request that began at a time.
+func (d *Dispatcher) noteAnswer(now time.Time, t *Target, r *Route, from time.Time) {
+	if r.Latency == 0 || from.Before(d.evidenceFrom) || now.Sub(d.tickedAt) > answerGap {
+		return
+	}
+	took := now.Sub(from)
+	l := d.loads[t.Service]
+	l.May = time.Duration(waitShare * float64(r.Latency))
+	if took >= time.Duration(shedShare*float64(l.May)) {
+		l.answers++
+	}
+	slow := 0.0
+	if took > l.May {
+		slow = 1
+	}
+	l.Slow += slowWeight * (slow - l.Slow)
+	d.loads[t.Service] = l
+}
+
+// adjustLimits begins, moves and ends the limits of the services. elapsed is the time
+// since the last call.
+func (d *Dispatcher) adjustLimits(elapsed time.Duration) {
+	for service, l := range d.loads {
+		if len(d.targets.services[service]) == 0 {
+			delete(d.loads, service)
+			continue
+		}
+		before := l.Limit
+		l.Running, l.Slots = d.requestsAndSlots(service)
+		l.noteRate(elapsed)
+		l.Limit = l.nextLimit()
+		d.loads[service] = l
+		switch {
+		case before == 0 && l.Limit > 0:
+			d.events = append(d.events, Event{Kind: EventOverloadBegan, Service: service, Load: l})
+		case before > 0 && l.Limit == 0:
+			d.events = append(d.events, Event{Kind: EventOverloadEnded, Service: service, Load: l})
+		}
+	}
+}
+
+// noteRate adds the answers since the last tick to the rate.
+func (l *Load) noteRate(elapsed time.Duration) {
+	if elapsed <= 0 {
+		return
+	}
+	keep := math.Exp(-elapsed.Seconds() / rateMemory.Seconds())
+	l.Rate = keep*l.Rate + (1-keep)*float64(l.answers)/elapsed.Seconds()
+	l.answers = 0
+}
+
+// nextLimit returns the limit until the next tick, 0 for none. With as many requests in
+// progress as are answered in the time that an answer may take, each takes that time
+// (Little's law). With fewer than the balancer's part of the slots, slots may be free.
+func (l *Load) nextLimit() float64 {
+	near := l.Slow >= overloadEnd || float64(l.Running) >= limitNear*l.Limit
+	if l.Slow < overloadBegin && (l.Limit == 0 || !near) {
+		return 0
+	}
+	return max(l.Slots, l.Rate*l.May.Seconds())
+}
+
+// requestsAndSlots returns this balancer's requests in progress at a service, and its
+// part of the slots of the targets that live.
+func (d *Dispatcher) requestsAndSlots(service string) (running int, slots float64) {
+	for _, t := range d.targets.services[service] {
+		running += t.running
+		if t.usable() && !t.health.suspected() {
+			slots += float64(t.Slots)
+		}
+	}
+	return running, slots / float64(d.sharers())
+}
+
+// sharers is the number of balancers that share the targets, as far as is known.
+func (d *Dispatcher) sharers() int { return max(d.peers, 1) * max(d.options.Places, 1) }
+
+// SetPeers tells how many balancers of the place there are, with this one.
+func (d *Dispatcher) SetPeers(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers = n
+}
+
+// overLimit reports whether a new flow of a route is beyond the limit of its service,
+// with the requests in progress that count against it and the limit that applies to it.
+// Requests of less urgent routes do not count.
+func (d *Dispatcher) overLimit(r *Route, flow uint64) (Load, bool) {
+	if r.use.running < routeLeast || len(r.Backends) == 0 {
+		return Load{}, false
+	}
+	service := r.order(flow)[0].Service
+	l := d.loads[service]
+	if l.Limit == 0 {
+		return Load{}, false
+	}
+	limit := l.Limit
+	l.Running = 0
+	for _, address := range d.routes.byService[service] {
+		other := d.routes.current[address]
+		if other.Priority <= r.Priority {
+			l.Running += other.use.running
+		}
+		switch {
+		case other.use.running < routeLeast:
+		case other.Priority < r.Priority:
+			limit = min(limit, max(l.Slots, lessUrgentShare*l.Limit))
+		case other.Priority > r.Priority:
+			limit = max(limit, urgentDepth*l.Slots)
+		}
+	}
+	l.Limit = limit
+	return l, float64(l.Running) >= limit
+}
+
+// indexByService lists the addresses of the routes by service.
+func (t *routeTable) indexByService() {
+	t.byService = make(map[string][]protocol.Endpoint)
+	for address, r := range t.current {
+		for _, b := range r.Backends {
+			t.byService[b.Service] = append(t.byService[b.Service], address)
+		}
+	}
+}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -17,8 +17,9 @@
 
 // Options are the fixed parameters of a dispatcher.
 type Options struct {
-	// Place is the failure domain of this balancer.
-	Place string
+	// Place is the failure domain of this balancer, Places the number of all.
+	Place  string
+	Places int
 	// FlowLife is the longest life of a flow.
 	FlowLife time.Duration
 	// FlowCapacity bounds the flow table.
@@ -43,7 +44,11 @@
 	// answeredTo is when the latest packet was forwarded that a target has answered.
 	answeredTo time.Time
 	loss       lossEstimate
-	tickedAt   time.Time
+	// loads are the loads of the services that have answered, by service.
+	loads map[string]Load
+	// peers is the number of balancers of the place, 0 while it is not known.
+	peers    int
+	tickedAt time.Time
 	// readyC is closed once routes and targets are known.
 	readyC chan struct{}
 	// evidenceFrom is the time before which packets prove nothing, because the process did not run.
@@ -62,6 +67,7 @@
 		options: o,
 		routes:  newRouteTable(),
 		targets: newRegistry(o.FlowLife),
+		loads:   make(map[string]Load),
 		flows:   make(map[protocol.FlowKey]*flow),
 		readyC:  make(chan struct{}),
 	}
@@ -204,24 +210,34 @@
 	if f != nil {
 		d.remove(p.Flow, f) // the caller uses its port again
 	}
+	if load, over := d.overLimit(route, state.FlowHash(p.Flow)); over && p.Copy == 0 {
+		refusal := d.refuse(now, p, route, ReasonOverload)
+		refusal.Running, refusal.Limit = load.Running, load.Limit
+		return refusal
+	}
 	t := d.choose(now, route, state.FlowHash(p.Flow), nil)
 	if t == nil && p.Copy > 0 {
 		// Another balancer may have forwarded the first copy, so a reset might not be true.
 		return Decision{Reason: ReasonNoOtherTarget, Route: route}
 	}
 	if t == nil {
-		d.add(now, p.Flow, &flow{route: route, openerSeq: p.Seq, refused: true})
-		return Decision{Action: ActionReset, Reason: ReasonNoTarget, Route: route}
+		return d.refuse(now, p, route, ReasonNoTarget)
 	}
 	running := t.running
 	d.open(now, p, route, t)
 	return Decision{Action: ActionForward, Reason: ReasonAdmitted, target: t, Route: route, Running: running}
 }
 
+// refuse resets an opener and remembers it, so that its copies are reset too.
+func (d *Dispatcher) refuse(now time.Time, p Packet, route *Route, reason Reason) Decision {
+	d.add(now, p.Flow, &flow{route: route, openerSeq: p.Seq, refused: reason})
+	return Decision{Action: ActionReset, Reason: reason, Route: route}
+}
+
 // repeated decides about a copy of an opener that this balancer has seen before.
 func (d *Dispatcher) repeated(now time.Time, p Packet, route *Route, f *flow) Decision {
-	if f.refused {
-		return Decision{Action: ActionReset, Reason: ReasonNoTarget, Route: route}
+	if f.refused != "" {
+		return Decision{Action: ActionReset, Reason: f.refused, Route: route}
 	}
 	d.unansweredOpener(now, f)
 	silence := f.target.health.silence(now)
@@ -252,7 +268,7 @@
 	}
 	t := d.targets.byToken[p.Token]
 	f := d.flows[p.Flow]
-	if t == nil && f != nil && !f.refused {
+	if t == nil && f != nil && f.refused == "" {
 		t = f.target // the caller has not received a packet of the target with its token
 	}
 	if t == nil {
@@ -267,7 +283,7 @@
 // follow notes what a packet tells about its target, and resets the flow when the target is dead.
 func (d *Dispatcher) follow(now time.Time, p Packet, route *Route, t *Target, f *flow) Decision {
 	forward := Decision{Action: ActionForward, Reason: ReasonToken, target: t, Route: route}
-	if f == nil || f.refused {
+	if f == nil || f.refused != "" {
 		f = d.join(now, p, route, t)
 	}
 	if f == nil {
@@ -289,6 +305,7 @@
 	}
 	if running && f.answered {
 		forward.Answered = now.Sub(from)
+		d.noteAnswer(now, t, route, from)
 	}
 	if repeated {
 		d.unanswered(now, f, t, f.sentAt)
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -12,6 +12,8 @@
 	EventTargetSuspected EventKind = "target-suspected"
 	EventTargetAlive     EventKind = "target-alive"
 	EventTargetFull      EventKind = "target-full"
+	EventOverloadBegan   EventKind = "overload-began"
+	EventOverloadEnded   EventKind = "overload-ended"
 	EventListingIgnored  EventKind = "listing-ignored"
 	EventRoutesAdopted   EventKind = "routes-adopted"
 	EventRoutesIgnored   EventKind = "routes-ignored"
@@ -27,6 +29,9 @@
 	Revision uint64
 	// Silence is set for events about a silent target.
 	Silence Silence
+	// Service and Load are set for events about an overloaded service.
+	Service string
+	Load    Load
 
 	target *Target
 }
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -32,7 +32,7 @@
 	openerSeq uint32
 	openedAt  time.Time
 	lastSeen  time.Time
-	refused   bool
+	refused   Reason // empty unless the opener was refused
 	confirmed bool
 	closed    bool
 
@@ -197,8 +197,10 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loss.fade(now.Sub(d.tickedAt))
+	elapsed := now.Sub(d.tickedAt)
 	d.tickedAt = now
+	d.loss.fade(elapsed)
+	d.adjustLimits(elapsed)
 	idle := d.routes.idle
 	if idle == 0 {
 		idle = defaultIdle
@@ -215,8 +217,8 @@
 			f.finish()
 		}
 		quiet := now.Sub(f.lastSeen)
-		unopened := !f.confirmed && !f.refused && now.Sub(f.openedAt) > openTime
-		if unopened || quiet > idle || (f.closed || f.refused) && quiet > closedTime || now.Sub(f.openedAt) > d.options.FlowLife+idle {
+		unopened := !f.confirmed && f.refused == "" && now.Sub(f.openedAt) > openTime
+		if unopened || quiet > idle || (f.closed || f.refused != "") && quiet > closedTime || now.Sub(f.openedAt) > d.options.FlowLife+idle {
 			d.remove(key, f)
 			continue
 		}
--- a/internal/coordination/dsr/load_test.go
+++ b/internal/coordination/dsr/load_test.go
@@ -24,8 +24,15 @@
 	hosts     map[string]*siteHost
 	// hashed replaces the choice of targets by plain hashing.
 	hashed bool
+	// queued is the most requests that wait at a target, which sheds further ones; 0 for no bound.
+	queued int
 
 	requests, full, lost, opened int
+	// answers are the times of answers, refused and shed the numbers of requests that
+	// did not run, by route.
+	answers map[int][]time.Duration
+	refused map[int]int
+	shed    map[int]int
 }
 
 // siteHost is a target that runs requests in its slots and queues the rest.
@@ -33,6 +40,7 @@
 	busy    int
 	waiting []func()
 	dark    bool
+	slow    int // how many times as long a request takes; 0 for once
 }
 
 const (
@@ -42,7 +50,8 @@
 )
 
 func newSite(hashed bool) *site {
-	s := &site{now: epoch, random: rand.New(rand.NewPCG(7, 7)), hosts: map[string]*siteHost{}, hashed: hashed}
+	s := &site{now: epoch, random: rand.New(rand.NewPCG(7, 7)), hosts: map[string]*siteHost{}, hashed: hashed,
+		answers: map[int][]time.Duration{}, refused: map[int]int{}, shed: map[int]int{}}
 	var targets []Announcement
 	for i := range 14 {
 		a := announce(i, "web", string(rune('a'+i%3)))
@@ -52,7 +61,8 @@
 	}
 	for i := range 7 {
 		place := string(rune('a' + i%3))
-		d := NewDispatcher(Options{Place: place, FlowLife: time.Minute})
+		d := NewDispatcher(Options{Place: place, Places: 3, FlowLife: time.Minute})
+		d.SetPeers(3 - min(i%3, 1))
 		d.SetRoutes(routesOf(1, "web"))
 		d.Observe(epoch, Listing{Targets: targets, Revision: 1})
 		s.balancers, s.places = append(s.balancers, d), append(s.places, place)
@@ -72,15 +82,22 @@
 
 // play opens flows at random times for a while.
 func (s *site) play(flows int, span time.Duration) {
+	s.spread(flows, span, 0)
+	s.queue.Run(&s.now, s.now.Add(span+3*time.Second))
+}
+
+// spread opens flows to a route at random times within a span.
+func (s *site) spread(flows int, span time.Duration, route int) {
 	for i := range flows {
-		s.after(time.Duration(s.random.Int64N(int64(span))), func() { s.open(uint16(i)) })
+		s.after(time.Duration(s.random.Int64N(int64(span))), func() { s.open(uint16(i), route) })
 	}
-	s.queue.Run(&s.now, s.now.Add(span+3*time.Second))
 }
 
 // siteFlow is a flow of one request.
 type siteFlow struct {
 	*site
+	route   int
+	began   time.Time
 	d       *Dispatcher
 	key     protocol.FlowKey
 	target  *Target
@@ -89,14 +106,14 @@
 }
 
 // open opens a flow from a place through one of its balancers.
-func (s *site) open(i uint16) {
+func (s *site) open(i uint16, route int) {
 	place := string(rune('a' + s.random.IntN(3)))
 	at := s.random.IntN(len(s.balancers))
 	for s.places[at] != place {
 		at = s.random.IntN(len(s.balancers))
 	}
-	f := &siteFlow{site: s, d: s.balancers[at]}
-	f.key = protocol.FlowKey{Caller: protocol.Endpoint{IP: [4]byte{100, 64, 0, byte(at)}, Port: i}, Service: routeAddress(0), Transport: protocol.TransportTCP}
+	f := &siteFlow{site: s, route: route, began: s.now, d: s.balancers[at]}
+	f.key = protocol.FlowKey{Caller: protocol.Endpoint{IP: [4]byte{100, 64, 0, byte(at)}, Port: i}, Service: routeAddress(route), Transport: protocol.TransportTCP}
 	s.requests++
 	f.opener(0)
 }
@@ -111,7 +128,11 @@
 		f.lost++
 		return
 	}
-	t := f.choose(copies)
+	t, refused := f.choose(copies)
+	if refused {
+		f.site.refused[f.route]++
+		return
+	}
 	if t != nil && !f.hosts[t.ID].dark {
 		f.after(2*siteLatency, func() { f.answered(t) })
 	}
@@ -119,9 +140,10 @@
 }
 
 // choose passes the opener to the balancer, or picks a target by plain hashing.
-func (f *siteFlow) choose(copies uint32) *Target {
+func (f *siteFlow) choose(copies uint32) (t *Target, refused bool) {
 	if !f.hashed {
-		return f.d.Handle(f.now, Packet{Flow: f.key, Opener: true, Copy: copies, Seq: 1}).target
+		d := f.d.Handle(f.now, Packet{Flow: f.key, Opener: true, Copy: copies, Seq: 1})
+		return d.target, d.Action == ActionReset
 	}
 	var best *Target
 	for _, t := range f.d.targets.services["web"] {
@@ -129,7 +151,7 @@
 			best = t
 		}
 	}
-	return best
+	return best, false
 }
 
 // answered sends the request to the target that answered the opener first.
@@ -164,7 +186,7 @@
 	}
 	run := func() {
 		h.busy++
-		length := time.Duration(float64(siteWork) * (0.5 + f.random.Float64()))
+		length := time.Duration(float64(siteWork) * (0.5 + f.random.Float64()) * float64(max(h.slow, 1)))
 		f.after(length, func() { f.done(h) })
 	}
 	if h.busy < siteSlots {
@@ -174,6 +196,11 @@
 	if f.someFree() {
 		f.full++
 	}
+	if f.queued > 0 && len(h.waiting) >= f.queued {
+		f.shed[f.route]++
+		f.reply()
+		return
+	}
 	h.waiting = append(h.waiting, run)
 }
 
@@ -186,7 +213,7 @@
 	return false
 }
 
-// done answers the request; the caller acknowledges the answer and closes.
+// done answers the request.
 func (f *siteFlow) done(h *siteHost) {
 	h.busy--
 	if len(h.waiting) > 0 && h.busy < siteSlots {
@@ -197,6 +224,12 @@
 	if h.dark {
 		return
 	}
+	f.answers[f.route] = append(f.answers[f.route], f.now.Add(2*siteLatency).Sub(f.began))
+	f.reply()
+}
+
+// reply acknowledges an answer and closes the flow.
+func (f *siteFlow) reply() {
 	f.after(2*siteLatency, func() {
 		f.replied = true
 		f.send(Packet{Seq: 102, Ack: 200})
--- a/internal/coordination/dsr/packet.go
+++ b/internal/coordination/dsr/packet.go
@@ -74,6 +74,7 @@
 	ReasonNoRoute      Reason = "no-route"
 	ReasonRouteRemoved Reason = "route-removed"
 	ReasonNoTarget     Reason = "no-target"
+	ReasonOverload     Reason = "overload"
 	ReasonTargetSilent Reason = "target-silent"
 	ReasonTargetGone   Reason = "target-gone"
 
@@ -99,6 +100,9 @@
 	// Running is the number of requests in progress at the target before an opener
 	// was admitted, as this balancer counts them.
 	Running int
+	// Limit is the bound of the requests in progress at an overloaded service that an
+	// opener met, Running their number; 0 for none.
+	Limit float64
 	// Answered is how long a request took whose answer the packet acknowledges; 0 for none.
 	Answered time.Duration
 	// Version is the version of the routes, ListingAge the age of the reading of the targets that decided.
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -15,6 +15,10 @@
 	Backends []Backend
 	// Timeout is how long a caller waits for one request.
 	Timeout time.Duration
+	// Latency is the time within which an answer is on time, 0 when that is not stated.
+	Latency time.Duration
+	// Priority orders the routes of a service; 0 is the most urgent.
+	Priority int
 
 	// use is shared by the versions of a route.
 	use *routeUse
@@ -51,6 +55,8 @@
 	current map[protocol.Endpoint]*Route
 	// connections is how many flows a target holds, by service.
 	connections map[string]int
+	// byService holds the addresses of the routes that send flows to a service.
+	byService map[string][]protocol.Endpoint
 	// services are the services that any version allowed on an address. Open
 	// flows stay at their target when the route moves to another service.
 	services map[protocol.Endpoint]map[string]bool
@@ -94,6 +100,7 @@
 			t.connections[b.Service] = b.Connections
 		}
 	}
+	t.indexByService()
 	for address := range former {
 		if t.current[address] == nil {
 			t.changed[address] = set.Version
@@ -104,7 +111,8 @@
 
 // equal reports whether a route says the same as another one, which may be nil.
 func (r *Route) equal(other *Route) bool {
-	return other != nil && r.Name == other.Name && r.Timeout == other.Timeout && slices.Equal(r.Backends, other.Backends)
+	return other != nil && r.Name == other.Name && r.Timeout == other.Timeout && r.Latency == other.Latency &&
+		r.Priority == other.Priority && slices.Equal(r.Backends, other.Backends)
 }
 
 func (t *routeTable) allow(r *Route) {
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"math"
+
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -24,6 +26,9 @@
 	if p.Opener {
 		keyvals = append(keyvals, "copy", p.Copy, "running", d.Running)
 	}
+	if d.Limit > 0 {
+		keyvals = append(keyvals, "limit", hundredths(d.Limit))
+	}
 	if d.Route != nil {
 		keyvals = append(keyvals, "route", d.Route.Name)
 	}
@@ -43,11 +48,17 @@
 		if e.About.ID != "" {
 			keyvals = append(keyvals, "target", e.About.ID, "address", e.About.Endpoint, "pool", e.About.Service)
 		}
+		if e.Service != "" {
+			keyvals = append(keyvals, "pool", e.Service, "slow", hundredths(e.Load.Slow), "rate", hundredths(e.Load.Rate), "running", e.Load.Running, "limit", hundredths(e.Load.Limit))
+		}
 		keyvals = append(keyvals, silenceOf(e.Silence)...)
 		n.log(level.Info, "belief", "changed", keyvals...)
 	}
 }
 
+// hundredths shortens a figure for the log.
+func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
 // silenceOf returns the evidence against a target, if there is any.
 func silenceOf(s dsr.Silence) []any {
 	if s.Strikes == 0 {
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -36,6 +36,8 @@
 			Ip:        r.Address.IP[:],
 			Port:      uint32(r.Address.Port),
 			TimeoutMs: r.Timeout.Milliseconds(),
+			LatencyMs: r.Latency.Milliseconds(),
+			Priority:  int32(r.Priority),
 		}
 		for _, b := range r.Backends {
 			route.Backends = append(route.Backends, &wire.FeedBackend{
@@ -59,7 +61,13 @@
 		if err != nil {
 			return dsr.RoutesDelta{}, errors.Wrapf(err, "route %s", route.GetName())
 		}
-		r := &dsr.Route{Name: route.GetName(), Address: address, Timeout: milliseconds(route.GetTimeoutMs())}
+		r := &dsr.Route{
+			Name:     route.GetName(),
+			Address:  address,
+			Timeout:  milliseconds(route.GetTimeoutMs()),
+			Latency:  milliseconds(route.GetLatencyMs()),
+			Priority: int(route.GetPriority()),
+		}
 		for _, b := range route.GetBackends() {
 			r.Backends = append(r.Backends, dsr.Backend{
 				Service:     b.GetService(),
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -360,6 +360,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.follower.SetMembers(members)
+	s.options.Core.SetPeers(len(members))
 	return membersWait(s.options.Self.VM, members), nil
 }
 
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -226,12 +226,15 @@
 func TestRoutesSurviveTheFeed(t *testing.T) {
 	sent := dsr.RoutesDelta{After: 1, Version: 2, IdleTimeout: 7 * time.Second, Changed: []*dsr.Route{{
 		Name: "r", Address: protocol.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}, Timeout: time.Second,
+		Latency: 250 * time.Millisecond, Priority: 2,
 		Backends: []dsr.Backend{{Service: "web", Weight: 90, Connections: 2000}, {Service: "old", Weight: 10}},
 	}}, Removed: []protocol.Endpoint{{IP: [4]byte{198, 18, 0, 2}, Port: 80}}}
 	received, err := decodeRoutes(1, encodeRoutes(sent))
 	assert.NilError(t, err)
 	assert.Equal(t, received.Changed[0].Backends[0], sent.Changed[0].Backends[0])
 	assert.Equal(t, received.Changed[0].Backends[1], sent.Changed[0].Backends[1])
+	assert.Equal(t, received.Changed[0].Latency, sent.Changed[0].Latency)
+	assert.Equal(t, received.Changed[0].Priority, sent.Changed[0].Priority)
 	assert.Equal(t, received.Removed[0], sent.Removed[0])
 	assert.Equal(t, received.IdleTimeout, sent.IdleTimeout)
 }
