Take the network off the time of answers when an overload is judged

Cause: the time of an answer holds a round trip, so far callers looked like an overload of idle targets.

Change: the round trip is measured by handshakes and taken off; the limit is never below two requests a slot. A request's time begins with its first byte, not with its opener.

--- a/internal/coordination/dsr/admission.go
+++ b/internal/coordination/dsr/admission.go
@@ -14,8 +14,8 @@
 // flows of other balancers, so the bound follows from how long answers take.
 
 const (
-	// waitShare is the part of the latency target that an answer may take on average in
-	// an overload, so that most are on time. Longer ones are slow.
+	// waitShare is the part of the latency target that a target may take for an answer on
+	// average in an overload, so that most are on time. Longer ones are slow.
 	waitShare = 0.6
 	// slowWeight is the weight of one answer in the share of slow ones. In an overload,
 	// a balancer of a small site sees a hundred answers of a service a second.
@@ -30,6 +30,12 @@
 	// shedShare is the part of the time that an answer may take below which the target
 	// did not run the request, but refused it because its queue is full.
 	shedShare = 0.1
+	// networkWeight is the weight of one handshake in the time on the network.
+	networkWeight = 0.05
+	// limitDepth is the number of requests in progress for each slot that are never too
+	// many: with one that waits behind each, a slot is not free for lack of requests, also
+	// where requests take nearly as long as their latency target without waiting.
+	limitDepth = 2
 	// rateMemory is the time after which an answer counts for 1/e in the rate of answers.
 	rateMemory = time.Second
 	// urgentDepth is the number of requests in progress for each slot up to which a route
@@ -51,7 +57,9 @@
 	Slow float64
 	// Rate is the number of answers in a second, without requests that did not run.
 	Rate float64
-	// May is how long an answer may take on average.
+	// Network is the time of a round trip to a target and a caller.
+	Network time.Duration
+	// May is how long a target may take for an answer on average.
 	May time.Duration
 	// Running is the number of this balancer's requests in progress, Limit their
 	// bound, 0 for none.
@@ -60,17 +68,33 @@
 	// Slots is this balancer's part of the slots of the service.
 	Slots float64
 
+	// measured is set once Network is known.
+	measured bool
 	// answers counts the answers since the last tick.
 	answers int
 }
 
+// noteHandshake notes that a caller acknowledged the answer to an opener that was
+// forwarded at a time. Targets answer openers without a slot.
+func (d *Dispatcher) noteHandshake(now time.Time, t *Target, from time.Time) {
+	if from.Before(d.evidenceFrom) || now.Sub(d.tickedAt) > answerGap {
+		return
+	}
+	l := d.loads[t.Service]
+	if !l.measured {
+		l.measured, l.Network = true, now.Sub(from)
+	}
+	l.Network += time.Duration(networkWeight * float64(now.Sub(from)-l.Network))
+	d.loads[t.Service] = l
+}
+
 // noteAnswer notes the time of an answer to a request that began at a time.
 func (d *Dispatcher) noteAnswer(now time.Time, t *Target, r *Route, from time.Time) {
-	if r.Latency == 0 || from.Before(d.evidenceFrom) || now.Sub(d.tickedAt) > answerGap {
+	if r.Latency == 0 || !d.loads[t.Service].measured || from.Before(d.evidenceFrom) || now.Sub(d.tickedAt) > answerGap {
 		return
 	}
-	took := now.Sub(from)
 	l := d.loads[t.Service]
+	took := now.Sub(from) - l.Network
 	l.May = time.Duration(waitShare * float64(r.Latency))
 	if took >= time.Duration(shedShare*float64(l.May)) {
 		l.answers++
@@ -117,13 +141,14 @@
 
 // nextLimit returns the limit until the next tick, 0 for none. With as many requests in
 // progress as are answered in the time that an answer may take, each takes that time
-// (Little's law). With fewer than the balancer's part of the slots, slots may be free.
+// (Little's law). A flow for each request has the time of its handshake besides. With
+// fewer requests than limitDepth for each of the balancer's slots, slots may be free.
 func (l *Load) nextLimit() float64 {
 	near := l.Slow >= overloadEnd || float64(l.Running) >= limitNear*l.Limit
 	if l.Slow < overloadBegin && (l.Limit == 0 || !near) {
 		return 0
 	}
-	return max(l.Slots, l.Rate*l.May.Seconds())
+	return max(limitDepth*l.Slots, l.Rate*(l.May+2*l.Network).Seconds())
 }
 
 // requestsAndSlots returns this balancer's requests in progress at a service, and its
@@ -170,7 +195,7 @@
 		switch {
 		case other.use.running < routeLeast:
 		case other.Priority < r.Priority:
-			limit = min(limit, max(l.Slots, lessUrgentShare*l.Limit))
+			limit = min(limit, max(limitDepth*l.Slots, lessUrgentShare*l.Limit))
 		case other.Priority > r.Priority:
 			limit = max(limit, urgentDepth*l.Slots)
 		}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -239,6 +239,7 @@
 	if f.refused != "" {
 		return Decision{Action: ActionReset, Reason: f.refused, Route: route}
 	}
+	f.copied = true
 	d.unansweredOpener(now, f)
 	silence := f.target.health.silence(now)
 	if f.target.usable() && !f.target.health.suspected() && !f.target.full(now) {
@@ -296,7 +297,11 @@
 		return forward
 	}
 	sent, from, running := f.sentAt, f.runningFrom, f.running
+	opening := !f.confirmed && !f.copied
 	repeated := f.note(now, p)
+	if opening {
+		d.noteHandshake(now, t, f.openedAt)
+	}
 	if p.Bytes > 0 && !repeated && !running {
 		d.loss.sent()
 	}
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -44,6 +44,8 @@
 	struckAt time.Time
 	// requestFrom is the sequence number at which the request in progress began.
 	requestFrom uint32
+	// copied is set when the caller sent its opener again.
+	copied      bool
 	acked       uint32
 	running     bool
 	runningFrom time.Time
@@ -185,6 +187,9 @@
 	if !f.running && p.Bytes > 0 {
 		f.start(now, p.Seq)
 	}
+	if f.sent == f.openerSeq+1 && p.Bytes > 0 {
+		f.runningFrom = now // the handshake is no part of the first request
+	}
 	if after(end, f.requestFrom+windowBytes) && f.running {
 		f.progressed = true
 		f.requestFrom = end - windowBytes
--- a/internal/coordination/dsr/load_test.go
+++ b/internal/coordination/dsr/load_test.go
@@ -24,6 +24,8 @@
 	hosts     map[string]*siteHost
 	// hashed replaces the choice of targets by plain hashing.
 	hashed bool
+	// latency is the time of a packet from one end to the other.
+	latency time.Duration
 	// queued is the most requests that wait at a target, which sheds further ones; 0 for no bound.
 	queued int
 
@@ -46,11 +48,11 @@
 const (
 	siteWork    = 60 * time.Millisecond
 	siteSlots   = 3
-	siteLatency = time.Millisecond
+	siteLatency = time.Millisecond // one way, between any two
 )
 
 func newSite(hashed bool) *site {
-	s := &site{now: epoch, random: rand.New(rand.NewPCG(7, 7)), hosts: map[string]*siteHost{}, hashed: hashed,
+	s := &site{now: epoch, random: rand.New(rand.NewPCG(7, 7)), hosts: map[string]*siteHost{}, hashed: hashed, latency: siteLatency,
 		answers: map[int][]time.Duration{}, refused: map[int]int{}, shed: map[int]int{}}
 	var targets []Announcement
 	for i := range 14 {
@@ -134,7 +136,7 @@
 		return
 	}
 	if t != nil && !f.hosts[t.ID].dark {
-		f.after(2*siteLatency, func() { f.answered(t) })
+		f.after(2*f.latency, func() { f.answered(t) })
 	}
 	f.after(waits[copies], func() { f.opener(copies + 1) })
 }
@@ -224,13 +226,13 @@
 	if h.dark {
 		return
 	}
-	f.answers[f.route] = append(f.answers[f.route], f.now.Add(2*siteLatency).Sub(f.began))
+	f.answers[f.route] = append(f.answers[f.route], f.now.Add(2*f.latency).Sub(f.began))
 	f.reply()
 }
 
 // reply acknowledges an answer and closes the flow.
 func (f *siteFlow) reply() {
-	f.after(2*siteLatency, func() {
+	f.after(2*f.latency, func() {
 		f.replied = true
 		f.send(Packet{Seq: 102, Ack: 200})
 		f.send(Packet{Seq: 102, Ack: 200, Fin: true})
--- a/internal/coordination/dsr/overload_test.go
+++ b/internal/coordination/dsr/overload_test.go
@@ -83,6 +83,8 @@
 
 // Guards against refusals while slots are free: at a usual load, with a fifth of the
 // targets five times as slow, and after an overload has passed.
+// Neither callers that are far away nor requests that take nearly as long as their
+// latency target are an overload.
 func TestNothingIsRefusedWhileSlotsAreFree(t *testing.T) {
 	s := newOverloadSite(siteAim)
 	s.surge(0.7, 10*time.Second)
@@ -95,6 +97,15 @@
 	s.surge(0.5, 10*time.Second)
 	assert.Equal(t, s.refused[board]+s.refused[booking], 0, "slow targets")
 
+	s = newOverloadSite(siteAim)
+	s.latency = 60 * time.Millisecond
+	s.surge(0.7, 10*time.Second)
+	assert.Equal(t, s.refused[board]+s.refused[booking], 0, "callers far away")
+
+	s = newOverloadSite(siteWork)
+	s.surge(0.5, 10*time.Second)
+	assert.Equal(t, s.refused[board]+s.refused[booking], 0, "requests as long as the latency target")
+
 	s = newOverloadSite(siteAim)
 	s.surge(3, 5*time.Second)
 	s.surge(0.5, 2*time.Second) // the limit is lifted
@@ -109,6 +120,7 @@
 		r.Latency = siteAim
 	}
 	b.d.SetRoutes(routes)
+	b.wait(100 * time.Millisecond)
 	calls := make([]*call, 40)
 	for i := range calls {
 		calls[i] = b.dial(0).open()
@@ -155,6 +167,7 @@
 	set := routesOf(2, "web")
 	set.Routes[0].Latency = siteAim
 	b.d.SetRoutes(set)
+	b.wait(100 * time.Millisecond)
 	calls := make([]*call, 40)
 	for i := range calls {
 		calls[i] = b.dial(0).open()
