Average the time that answers may take over the routes of a service

The limit of an overloaded service followed the latency target of the latest answer, so it changed with each answer where routes differ.

--- a/internal/coordination/dsr/admission.go
+++ b/internal/coordination/dsr/admission.go
@@ -17,12 +17,12 @@
 	// waitShare is the part of the latency target that a target may take for an answer on
 	// average in an overload, so that most are on time. Longer ones are slow.
 	waitShare = 0.6
-	// slowWeight is the weight of one answer in the share of slow ones. In an overload,
+	// slowWeight is the weight of one answer in the averages over answers. In an overload,
 	// a balancer of a small site sees a hundred answers of a service a second.
 	slowWeight = 0.05
 	// overloadBegin is the share of slow answers from which a service counts as
-	// overloaded, overloadEnd the one below which it may no longer be. With fewer slow ones than half, some
-	// targets may be slow by themselves while others have free slots.
+	// overloaded, overloadEnd the one below which it may no longer be. With fewer slow
+	// ones than half, some targets may be slow by themselves while others have free slots.
 	overloadBegin = 0.5
 	overloadEnd   = 0.2
 	// limitNear is the part of the limit at which it still holds without slow answers.
@@ -59,7 +59,7 @@
 	Rate float64
 	// Network is the time of a round trip to a target and a caller.
 	Network time.Duration
-	// May is how long a target may take for an answer on average.
+	// May is how long a target may take for an answer, on average over the routes.
 	May time.Duration
 	// Running is the number of this balancer's requests in progress, Limit their
 	// bound, 0 for none.
@@ -95,12 +95,16 @@
 	}
 	l := d.loads[t.Service]
 	took := now.Sub(from) - l.Network
-	l.May = time.Duration(waitShare * float64(r.Latency))
-	if took >= time.Duration(shedShare*float64(l.May)) {
+	may := time.Duration(waitShare * float64(r.Latency))
+	if l.May == 0 {
+		l.May = may
+	}
+	l.May += time.Duration(slowWeight * float64(may-l.May))
+	if took >= time.Duration(shedShare*float64(may)) {
 		l.answers++
 	}
 	slow := 0.0
-	if took > l.May {
+	if took > may {
 		slow = 1
 	}
 	l.Slow += slowWeight * (slow - l.Slow)
--- a/internal/coordination/dsr/overload_test.go
+++ b/internal/coordination/dsr/overload_test.go
@@ -185,3 +185,19 @@
 	b.wait(time.Second)
 	assert.Equal(t, b.dial(0).opener().Action, ActionForward)
 }
+
+// Guards against a limit that follows the route of the latest answer alone, where
+// routes with different latency targets share a service.
+func TestAllRoutesMakeTheLimit(t *testing.T) {
+	b := newBench(t, 3)
+	b.wait(100 * time.Millisecond)
+	c := b.dial(0).open()
+	short, long := &Route{Latency: 100 * time.Millisecond}, &Route{Latency: time.Second}
+	for range 200 {
+		b.d.noteAnswer(b.now, c.target, short, b.now)
+		b.d.noteAnswer(b.now, c.target, long, b.now)
+	}
+	mean := time.Duration(waitShare * float64(short.Latency+long.Latency) / 2)
+	off := b.d.loads["web"].May - mean
+	assert.Assert(t, off.Abs() < mean/10, "%v, mean %v", b.d.loads["web"].May, mean)
+}
