--- a/internal/coordination/dsr/slope_test.go
+++ b/internal/coordination/dsr/slope_test.go
@@ -33,6 +33,9 @@
 		decision := d.Handle(epoch, p)
 		packets[i] = Packet{Flow: p.Flow, Token: decision.target.Token, Seq: 2, Ack: 1, Bytes: 100}
 	}
+	for service := range d.targets.services {
+		d.loads[service] = Load{measured: true, Slow: 1, Limit: 1} // every service is overloaded
+	}
 	return d, packets
 }
 
