Count suspensions and pauses in the age of replicated data

Cause: ages came from the monotonic clock of package time, which stops while a machine is suspended, and from the moment a process read an answer. A feed parent that woke up after 20 s reported its data as 20 s younger than they were, a follower took an answer that had waited in its socket for a new one, and a reader that was paused during a watch took the response for current as of its wake-up. On the native path a suspension did not count as a freeze, so the hold-off that keeps refusals true did not begin.

Ruled out: the wall clock, which may jump. A read of CLOCK_BOOTTIME per packet on the platform's path, where each call is charged: the node refreshes it with each tick.

Change: package boottime; ages count from when a probe or call was sent; a watch confirms at most its wait time. The tests fail without it (data confirmed 20 s late).

--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -39,6 +39,10 @@
 	Targets []Announcement
 	// Revision is the lowest store revision that the list may reflect.
 	Revision uint64
+	// AsOf is the time from which the store may have changed without the list showing it:
+	// at the latest when the store answered. Zero stands for the time at which the listing
+	// is applied.
+	AsOf time.Time
 }
 
 const (
@@ -156,8 +160,14 @@
 	if g.hasListing && l.Revision < g.revision {
 		return []Event{{Kind: EventListingIgnored, Revision: l.Revision}}
 	}
-	g.hasListing, g.asOf, g.revision = true, now, l.Revision
+	g.hasListing, g.revision = true, l.Revision
 	g.listings++
+	if l.AsOf.IsZero() {
+		l.AsOf = now
+	}
+	if l.AsOf.After(g.asOf) {
+		g.asOf = l.AsOf
+	}
 	present, events := g.upsertAll(now, l.Targets)
 	events = append(events, g.markMissingGone(now, present)...)
 	g.evictExpired(now)
--- a/internal/transport/balancer.go
+++ b/internal/transport/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/settings"
@@ -40,7 +41,8 @@
 	Logger log.Logger
 	// Tracer may be nil.
 	Tracer *telemetry.Tracer
-	// Now returns the current time. If nil, the monotonic clock of the machine is used.
+	// Now returns the current time. If nil, boottime.Now is used: a suspension of the machine
+	// is a freeze, and a step of the wall clock must not expire flows.
 	Now func() time.Time
 }
 
@@ -73,7 +75,7 @@
 // New creates a balancer and opens its data socket. Packets are read once Run is called.
 func New(o Options) (*Balancer, error) {
 	if o.Now == nil {
-		o.Now = monotonicClock()
+		o.Now = boottime.Now
 	}
 	key, err := protocol.DeriveRelayKey(o.Settings.FleetKey)
 	if err != nil {
@@ -104,13 +106,6 @@
 	return b, nil
 }
 
-// monotonicClock returns a clock that follows only the monotonic clock of the
-// machine. A step of the wall clock would otherwise expire flows.
-func monotonicClock() func() time.Time {
-	start := time.Now()
-	return func() time.Time { return start.Add(time.Since(start)) }
-}
-
 // Address returns the address of the data socket.
 func (b *Balancer) Address() netip.AddrPort {
 	return b.conn.LocalAddr().(*net.UDPAddr).AddrPort()
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/agent"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/membership"
@@ -125,7 +126,7 @@
 	p.peerHTTPClient = newPeerHTTPClient(o.FleetKey, p.counters)
 	p.healthHTTPClient = newHealthHTTPClient(p.counters)
 	p.loader = publish.NewLoader(o.Store)
-	now := time.Now()
+	now := boottime.Now()
 	membershipConfig := membership.Config{
 		VM: o.VM, Place: o.Place, DataAddr: o.DataAddr, ControlAddr: p.options.ControlAddr, SeedAddrs: o.SeedAddrs, RandomSeed: o.RandomSeed,
 	}
@@ -237,7 +238,7 @@
 func (p *Plane) runInLoop(ctx context.Context, f func(now time.Time)) error {
 	finished := make(chan struct{})
 	call := func() {
-		f(time.Now())
+		f(boottime.Now())
 		close(finished)
 	}
 	select {
--- a/internal/transport/control/handoff.go
+++ b/internal/transport/control/handoff.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
@@ -54,7 +55,7 @@
 	limiter := rate.NewLimiter(handoffBindingsPerSecond, handoffBatchSize)
 	undelivered := 0
 	for {
-		batches := p.options.Core.Handoff(time.Now(), handoffBatchSize)
+		batches := p.options.Core.Handoff(boottime.Now(), handoffBatchSize)
 		if len(batches) == 0 {
 			break
 		}
--- a/internal/transport/control/loop.go
+++ b/internal/transport/control/loop.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/agent"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/membership"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
@@ -35,12 +36,12 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.sendProbes(p.agent.AnnounceLeft(time.Now()))
+			p.sendProbes(p.agent.AnnounceLeft(boottime.Now()))
 			return
 		case <-ticker.C:
 			p.tick(ctx)
 		case received := <-p.probeQueue:
-			p.sendProbes(p.agent.HandleProbe(time.Now(), received.from, received.probe))
+			p.sendProbes(p.agent.HandleProbe(boottime.Now(), received.from, received.probe))
 		case call := <-p.loopCalls:
 			call()
 			p.tick(ctx)
@@ -48,7 +49,7 @@
 	}
 }
 
-func (p *Plane) tick(ctx context.Context) { p.applyOutput(ctx, p.agent.Tick(time.Now())) }
+func (p *Plane) tick(ctx context.Context) { p.applyOutput(ctx, p.agent.Tick(boottime.Now())) }
 
 // applyOutput sends the messages, calls the callbacks and starts the tasks that the
 // agent has requested.
--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/telemetry"
@@ -30,9 +31,9 @@
 	receiveBufferBytes = 4 << 20
 	// tickInterval is the interval at which flows are expired and freezes are detected.
 	tickInterval = 100 * time.Millisecond
-	// freezeGap is the time between two ticks from which the process counts as frozen.
-	// Missing answers then do not indicate that a target failed, because the process may
-	// not have been running.
+	// freezeGap is the time between two ticks from which the process counts as frozen or the
+	// machine as suspended. Missing answers then do not indicate that a target failed,
+	// because the process may not have been running.
 	freezeGap = 400 * time.Millisecond
 	// readHeaderTimeout limits the time for reading the headers of a readiness request.
 	readHeaderTimeout = time.Second
@@ -82,6 +83,8 @@
 	Logger      log.Logger
 	// Tracer writes a span for each packet of the flows that it samples. Nil disables tracing.
 	Tracer *telemetry.Tracer
+	// Clock is the clock of the node, nil for the machine's.
+	Clock *boottime.Clock
 }
 
 // Node is a running balancer.
@@ -121,12 +124,15 @@
 		return nil, errors.Wrap(err, "listen on readiness address")
 	}
 	o.Logger = log.With(o.Logger, "caller", log.Caller(logCallerDepth))
+	if o.Clock == nil {
+		o.Clock = boottime.NewClock(nil)
+	}
 	return &Node{
 		options:       o,
 		conn:          conn,
 		readyListener: readyListener,
 		stats:         newStats(),
-		startedAt:     time.Now(),
+		startedAt:     o.Clock.Refresh(),
 		sendBuffer:    make([]byte, 0, maxDatagramBytes),
 	}, nil
 }
@@ -183,7 +189,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := n.options.Clock.Now()
 	n.log(level.Info, "ready", "routes and targets are known; handling queued datagrams", "after", now.Sub(n.startedAt), "held", len(n.queue))
 	for _, queued := range n.queue {
 		if now.Sub(queued.receivedAt) <= maxQueuedAge {
@@ -208,31 +214,34 @@
 // until only shutdownReserve is left of the grace period.
 func (n *Node) leave() {
 	n.leaving.Store(true)
-	start := time.Now()
+	start := n.options.Clock.Now()
 	n.log(level.Info, "leave", "leaving; forwarding until the routers send no more packets")
 	timeout := max(n.options.GracePeriod-shutdownReserve, 0)
-	for time.Since(start) < timeout {
+	elapsed := time.Duration(0)
+	for elapsed < timeout {
 		time.Sleep(tickInterval)
-		sinceLastPacket := time.Since(n.startedAt) - time.Duration(n.lastPacketAt.Load())
-		if time.Since(start) >= minLeaveDuration && sinceLastPacket >= leaveQuietPeriod {
+		now := n.options.Clock.Now()
+		elapsed = now.Sub(start)
+		sinceLastPacket := now.Sub(n.startedAt) - time.Duration(n.lastPacketAt.Load())
+		if elapsed >= minLeaveDuration && sinceLastPacket >= leaveQuietPeriod {
 			break
 		}
 	}
-	n.log(level.Info, "stop", "stopped forwarding", "after", time.Since(start))
+	n.log(level.Info, "stop", "stopped forwarding", "after", elapsed)
 }
 
 // tickLoop calls the periodic tick of the dispatcher and detects freezes until ctx ends.
 func (n *Node) tickLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	lastTick := time.Now()
+	lastTick := n.options.Clock.Refresh()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
+		now := n.options.Clock.Refresh()
 		if now.Sub(lastTick) >= freezeGap {
 			n.options.Dispatcher.HandleFreeze(now)
 		}
@@ -255,7 +264,7 @@
 			time.Sleep(readErrorDelay)
 			continue
 		}
-		now := time.Now()
+		now := n.options.Clock.Now()
 		n.lastPacketAt.Store(int64(now.Sub(n.startedAt)))
 		n.mu.Lock()
 		n.handleDatagram(now, buffer[:size])
@@ -291,7 +300,7 @@
 		n.log(level.Error, "send", "datagram", "flow", p.Flow.Caller, "service", p.Flow.Service, "err", sendErr)
 	}
 	n.logDecision(p, d)
-	n.stats.handlingTime.Record(time.Since(now))
+	n.stats.handlingTime.Record(n.options.Clock.Now().Sub(now))
 	n.recordSpan(now, p, d)
 }
 
@@ -300,7 +309,7 @@
 	if !n.options.Tracer.Sampled(p.Flow) {
 		return
 	}
-	span := telemetry.PacketSpan{Flow: p.Flow, Start: start, End: time.Now(), Action: d.Action.String(), Reason: string(d.Reason)}
+	span := telemetry.PacketSpan{Flow: p.Flow, Start: start, End: n.options.Clock.Now(), Action: d.Action.String(), Reason: string(d.Reason)}
 	if d.Action == dsr.ActionForward {
 		span.Target = d.Target.Endpoint
 	}
--- a/internal/transport/direct/node_test.go
+++ b/internal/transport/direct/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 )
@@ -54,7 +56,9 @@
 	done       chan error
 }
 
-func startNode(t *testing.T) *testNode {
+func startNode(t *testing.T) *testNode { return startNodeWithClock(t, nil) }
+
+func startNodeWithClock(t *testing.T, clock *boottime.Clock) *testNode {
 	target, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
 	dispatcher := dsr.NewDispatcher(dsr.Options{Place: "a", MaxFlowLifetime: time.Minute})
@@ -66,6 +70,7 @@
 		Codec:         testCodec{},
 		Dispatcher:    dispatcher,
 		Logger:        log.NewNopLogger(),
+		Clock:         clock,
 	})
 	assert.NilError(t, err)
 	caller, err := net.DialUDP("udp4", nil, node.conn.LocalAddr().(*net.UDPAddr))
@@ -149,6 +154,23 @@
 	assert.Equal(t, n.node.stats.counters.Value("malformed", "length"), int64(1))
 }
 
+// Guards against a suspension of the machine that goes unnoticed: the answers that callers
+// missed meanwhile would count as failures of the targets.
+func TestSuspensionIsFreeze(t *testing.T) {
+	var suspended atomic.Int64
+	n := startNodeWithClock(t, boottime.NewClock(func() time.Time { return boottime.Now().Add(time.Duration(suspended.Load())) }))
+	n.setRoutesAndTargets()
+	freezes := func() int64 { return n.node.stats.counters.Value("belief", string(dsr.EventFreeze)) }
+	for range 100 { // the first suspensions may precede the first tick
+		if freezes() > 0 {
+			return
+		}
+		suspended.Add(int64(20 * time.Second))
+		time.Sleep(2 * tickInterval)
+	}
+	t.Fatal("no suspension counted as a freeze")
+}
+
 // Guards against a data race between an update of a target and a packet that is being
 // sent to it: the packet could be sent with a mixture of the old and the new entry.
 // The race detector reports it.
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/kumquatworks/kumquatworks/internal/boottime"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
@@ -69,6 +70,9 @@
 	// ReadRoutes reads the routes from the platform.
 	ReadRoutes func(ctx context.Context) error
 	Logger     log.Logger
+	// Now returns the current time. If nil, boottime.Now is used: data become outdated also
+	// while the machine is suspended.
+	Now func() time.Time
 }
 
 // Service replicates routes and targets from a parent and serves them to followers.
@@ -83,6 +87,8 @@
 	follower      *feed.Follower
 	parent        feed.Member
 	probeSequence uint64
+	// probeSentAt is when the latest probe was sent.
+	probeSentAt time.Time
 	// parentEpoch and parentChangeSequence identify the parent's data that were applied
 	// last. ownListings is the number of listings that this balancer had read from the
 	// platform before. After a further listing all targets are fetched from the parent,
@@ -100,6 +106,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for probes over UDP")
 	}
+	if o.Now == nil {
+		o.Now = boottime.Now
+	}
 	o.Self.Address = conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	listener, err := net.Listen("tcp4", o.Self.Address.String())
 	if err != nil {
@@ -123,7 +132,7 @@
 func (s *Service) MustReadPlatform() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	mustRead := s.follower.MustReadPlatform(time.Now())
+	mustRead := s.follower.MustReadPlatform(s.options.Now())
 	if mustRead != s.readsPlatform {
 		s.readsPlatform = mustRead
 		s.log(level.Info, "switched between reading the platform and following the parent", "reads", mustRead, "parent", s.parent.VM)
@@ -146,7 +155,7 @@
 			_ = s.conn.Close()
 			return
 		case <-ticker.C:
-			s.sendProbe(time.Now())
+			s.sendProbe(s.options.Now())
 		}
 	}
 }
@@ -165,6 +174,7 @@
 	}
 	s.follower.RecordProbe(now, parent)
 	s.probeSequence++
+	s.probeSentAt = now
 	s.send(&wire.FeedProbe{Sequence: s.probeSequence}, kindProbe, parent.Address)
 }
 
@@ -200,7 +210,7 @@
 			continue
 		}
 		if n > 0 {
-			s.handleDatagram(ctx, time.Now(), buffer[0], buffer[1:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+			s.handleDatagram(ctx, s.options.Now(), buffer[0], buffer[1:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		}
 	}
 }
@@ -217,7 +227,7 @@
 	case kindState:
 		var state wire.FeedState
 		if proto.Unmarshal(data, &state) == nil {
-			s.handleState(ctx, now, &state, from)
+			s.handleState(ctx, &state, from)
 		}
 	}
 }
@@ -239,8 +249,10 @@
 }
 
 // handleState handles an answer of the parent to the latest probe, and starts to fetch
-// the routes and targets that are newer at the parent.
-func (s *Service) handleState(ctx context.Context, now time.Time, state *wire.FeedState, from netip.AddrPort) {
+// the routes and targets that are newer at the parent. The age in the answer counts from
+// the time of the probe: an answer that waited here while the process was paused would
+// otherwise make outdated data look recent.
+func (s *Service) handleState(ctx context.Context, state *wire.FeedState, from netip.AddrPort) {
 	ownSummary, _ := s.options.Dispatcher.Summary()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -248,7 +260,7 @@
 		return
 	}
 	parent := s.parent
-	asOf := now.Add(-time.Duration(state.GetAgeMs()) * time.Millisecond)
+	asOf := s.probeSentAt.Add(-time.Duration(state.GetAgeMs()) * time.Millisecond)
 	newRoutes := state.GetRoutesVersion() > ownSummary.RoutesVersion
 	if ownSummary.Listings != s.ownListings {
 		s.parentEpoch, s.ownListings = 0, ownSummary.Listings
@@ -327,7 +339,7 @@
 	if err != nil {
 		return err
 	}
-	if !s.options.Dispatcher.ApplyDelta(time.Now(), delta) {
+	if !s.options.Dispatcher.ApplyDelta(s.options.Now(), delta) {
 		return errors.New("the targets of the parent are of an older platform revision than those here")
 	}
 	s.mu.Lock()
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -49,6 +49,7 @@
 type node struct {
 	dispatcher *dsr.Dispatcher
 	service    *Service
+	clock      pausableClock
 	stop       context.CancelFunc
 }
 
@@ -85,6 +86,7 @@
 			return nil
 		},
 		Logger: log.NewNopLogger(),
+		Now:    n.clock.now,
 	})
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -112,7 +114,7 @@
 		l.Targets = append(l.Targets, dsr.Announcement{ID: id, Incarnation: 7, Service: "web", Slots: 2, Revision: 1,
 			Place: "a", Endpoint: protocol.Endpoint{IP: [4]byte{10, 0, 0, byte(i)}, Port: 80}})
 	}
-	n.dispatcher.ApplyListing(time.Now(), l)
+	n.dispatcher.ApplyListing(n.clock.now(), l)
 }
 
 // repeatUntilStopped calls apply repeatedly until the test ends or stop is called.
