Reject responses that belong to other requests

Cause: a response carries no mark of its request.

Ruled out: net/http closes a connection on which bytes arrive while it is idle, but not when they arrive after the next request was sent.

A write is done only if the response states its key, its value and a later revision, otherwise its outcome is unknown.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -37,6 +37,9 @@
 func (c *Client) Get(ctx context.Context, key string) (Record, error) {
 	var record Record
 	_, err := c.callJSON(ctx, Request{Name: "get", Method: http.MethodGet, Path: "/v1/kv/" + url.PathEscape(key), Timeout: callTimeout}, &record)
+	if err == nil {
+		err = c.checkKey(record.Key, key)
+	}
 	return record, errors.Wrapf(err, "get %s", key)
 }
 
@@ -51,7 +54,8 @@
 			return Record{}, errors.Wrapf(err, "watch %s", key)
 		}
 		if status == http.StatusOK {
-			return record, nil
+			err := c.checkKey(record.Key, key)
+			return record, errors.Wrapf(err, "watch %s", key)
 		}
 	}
 }
@@ -69,6 +73,9 @@
 	var lease Lease
 	path := "/v1/lease/" + url.PathEscape(key) + "?" + query.Encode()
 	_, err := c.callJSON(ctx, Request{Name: "lease", Method: http.MethodPost, Path: path, Timeout: callTimeout}, &lease)
+	if err == nil {
+		err = c.checkKey(lease.Key, key)
+	}
 	return lease, errors.Wrapf(err, "acquire lease %s", key)
 }
 
@@ -88,9 +95,40 @@
 		return WriteUnknown, Record{}, errors.Wrapf(err, "write %s: request was sent but no complete response was received", key)
 	}
 	outcome, record, err := writeOutcome(response)
+	if err == nil {
+		err = c.checkWritten(outcome, record, key, value, expectedRevision)
+	}
+	if err != nil && outcome != WriteFailed {
+		outcome = WriteUnknown
+	}
 	return outcome, record, errors.Wrapf(err, "write %s", key)
 }
 
+// checkWritten checks that a response belongs to the write that is given by key, value and
+// expected revision. A second copy of an earlier response could otherwise report a write
+// as done, or as a conflict, that is not.
+func (c *Client) checkWritten(outcome WriteOutcome, record Record, key string, value []byte, expectedRevision uint64) error {
+	if err := c.checkKey(record.Key, key); err != nil {
+		return err
+	}
+	done := record.Revision > expectedRevision && bytes.Equal(record.Value, value)
+	if outcome == WriteDone && !done || outcome == WriteConflict && record.Revision == expectedRevision {
+		c.conn.CloseIdleConnections()
+		return errors.Errorf("response does not belong to the write: status and revision %d do not match the expected revision %d", record.Revision, expectedRevision)
+	}
+	return nil
+}
+
+// checkKey checks the key that a response states. If it is another one, the response
+// belongs to another request, and so will the next one on the connection.
+func (c *Client) checkKey(got, want string) error {
+	if got == want {
+		return nil
+	}
+	c.conn.CloseIdleConnections()
+	return errors.Errorf("response is about key %q; expected %q", got, want)
+}
+
 // writeOutcome maps a complete response to the outcome of a write.
 func writeOutcome(response Response) (WriteOutcome, Record, error) {
 	var record Record
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -110,6 +110,9 @@
 	return response, err
 }
 
+// CloseIdleConnections closes the connections that no call uses at present.
+func (c *Conn) CloseIdleConnections() { c.client.CloseIdleConnections() }
+
 // isFailureStatus reports whether a status means that the platform did not execute the call.
 func isFailureStatus(status int) bool {
 	switch status {
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -60,3 +60,42 @@
 	_, err = conn.Call(ctx, Request{Name: "x", Method: http.MethodGet, Path: "/x"})
 	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 }
+
+// Guards against a response to another request, such as a late second copy of an earlier
+// one, that is taken for the outcome of a write or for the value of a key. An operator
+// would be told that a configuration was published that was not.
+func TestResponsesToOtherRequestsAreRejected(t *testing.T) {
+	var status int
+	var body string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body)) // the client sees the failure
+	}))
+	defer server.Close()
+	client := NewClient(server.URL)
+	ctx := context.Background()
+	for _, test := range []struct {
+		status  int
+		body    string
+		outcome WriteOutcome
+	}{
+		{http.StatusOK, `{"key":"head","value":"bmV3","revision":8}`, WriteDone},
+		{http.StatusOK, `{"key":"head","value":"b2xk","revision":7}`, WriteUnknown}, // the response to a read before
+		{http.StatusOK, `{"key":"other","value":"bmV3","revision":8}`, WriteUnknown},
+		{http.StatusConflict, `{"key":"head","value":"b2xk","revision":9}`, WriteConflict},
+		{http.StatusConflict, `{"key":"other","value":"b2xk","revision":9}`, WriteUnknown},
+		{http.StatusConflict, `{"key":"head","value":"b2xk","revision":7}`, WriteUnknown},
+	} {
+		status, body = test.status, test.body
+		outcome, _, err := client.CompareAndSwap(ctx, "head", []byte("new"), 7)
+		assert.Equal(t, outcome, test.outcome, test.body)
+		assert.Equal(t, err != nil, test.outcome == WriteUnknown, test.body)
+	}
+	status, body = http.StatusOK, `{"key":"other","value":"b2xk","revision":9}`
+	_, err := client.Get(ctx, "head")
+	assert.ErrorContains(t, err, `expected "head"`)
+	_, err = client.Watch(ctx, "head", 7)
+	assert.ErrorContains(t, err, `expected "head"`)
+	_, err = client.AcquireLease(ctx, "head", "vm-1", time.Second)
+	assert.ErrorContains(t, err, `expected "head"`)
+}
