Finish accepted work on a planned stop

Cause: a stop ended the reader of the platform's path with packets still in the receive buffer, closed the HTTP servers of the control channel and of the feed at once, and ended the event loop in which control requests are answered.

Change: the node empties its receive buffer after the leave; the servers answer what they have accepted, for at most 0.5 s, while the event loop still runs.

--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -77,6 +77,9 @@
 	// probeQueueLength is the number of received probes that may wait for the event loop.
 	// Further probes are dropped.
 	probeQueueLength = 1024
+	// serverShutdownTimeout is how long a stopping balancer waits for the answers to requests
+	// that it has accepted.
+	serverShutdownTimeout = 500 * time.Millisecond
 )
 
 // Plane is the control plane of one balancer.
@@ -208,8 +211,8 @@
 	return totals
 }
 
-// Run runs the control plane until ctx ends, then announces to the other balancers that
-// this one left.
+// Run runs the control plane until ctx ends, answers the requests that it has accepted, and
+// then announces to the other balancers that this one left.
 func (p *Plane) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	server := p.newServer()
@@ -220,10 +223,16 @@
 		}
 		return nil
 	})
+	loopCtx, stopLoop := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() error {
+		defer stopLoop() // only then, since requests are answered in the event loop
+		<-ctx.Done()
+		p.shutDownServer(server)
+		return nil
+	})
 	group.Go(func() error {
 		defer p.udpConn.Close()
-		defer server.Close()
-		p.loop(ctx)
+		p.loop(loopCtx)
 		return nil
 	})
 	err := group.Wait()
@@ -233,6 +242,15 @@
 	return err
 }
 
+// shutDownServer accepts no further requests and waits for the answers to the others.
+func (p *Plane) shutDownServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close() // the requests that are left get no answer
+	}
+}
+
 // runInLoop runs f in the event loop and returns when f has returned. It fails without
 // running f if ctx ends first or the loop has ended.
 func (p *Plane) runInLoop(ctx context.Context, f func(now time.Time)) error {
--- a/internal/transport/control/control_test.go
+++ b/internal/transport/control/control_test.go
@@ -208,3 +208,36 @@
 		return totals[counterRefusedProbes] == 1 && totals[counterRefusedRequests] == 1
 	})
 }
+
+// Guards against a planned stop that cuts off a control request which was accepted before
+// it, so that an operator does not learn the outcome.
+func TestStopAnswersAcceptedRequests(t *testing.T) {
+	a := startNode(t, "a", newMemoryStore())
+	waitFor(t, "view of 1 member", func() bool { return a.liveCount() == 1 })
+	release, blocked := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = a.runInLoop(context.Background(), func(time.Time) { close(blocked); <-release }) // the loop runs at this time
+	}()
+	<-blocked
+	const requests = 20
+	results := make(chan error, requests)
+	for range requests {
+		go func() {
+			_, err := NewOperatorClient(a.Address().String(), fleetKey).Status(context.Background(), &wire.StatusRequest{})
+			results <- err
+		}()
+	}
+	received, unchanged := uint64(0), 0
+	waitFor(t, "all requests at the server", func() bool {
+		now := a.counters.snapshot()[CounterBytesReceived]
+		if unchanged++; now != received || now == 0 {
+			received, unchanged = now, 0
+		}
+		return unchanged >= 10
+	})
+	a.cancel()
+	close(release)
+	for range requests {
+		assert.NilError(t, <-results)
+	}
+}
--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -53,6 +53,10 @@
 	// leaveQuietPeriod is the time without packets after which a leaving balancer assumes
 	// that no router sends to it any more.
 	leaveQuietPeriod = 500 * time.Millisecond
+	// drainReadTimeout is how long a stopping node waits for another datagram in its receive
+	// buffer, maxDrainedDatagrams the number of datagrams that it still forwards.
+	drainReadTimeout    = 5 * time.Millisecond
+	maxDrainedDatagrams = 1 << 14
 	// shutdownReserve is the part of the grace period that is kept for the shutdown after
 	// forwarding has ended.
 	shutdownReserve = time.Second
@@ -155,6 +159,7 @@
 		}
 	}()
 	n.readLoop(forwardCtx)
+	n.drainReceiveBuffer()
 	return errors.Wrap(n.conn.Close(), "close the packet socket")
 }
 
@@ -255,20 +260,36 @@
 func (n *Node) readLoop(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
-		size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			continue
-		}
-		if err != nil {
+		err := n.readDatagram(buffer)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			n.log(level.Error, "read", "failed to read from the packet socket", "err", err)
 			time.Sleep(readErrorDelay)
-			continue
 		}
-		now := n.options.Clock.Now()
-		n.lastPacketAt.Store(int64(now.Sub(n.startedAt)))
-		n.mu.Lock()
-		n.handleDatagram(now, buffer[:size])
-		n.mu.Unlock()
+	}
+}
+
+// readDatagram reads and handles one datagram.
+func (n *Node) readDatagram(buffer []byte) error {
+	size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		return err
+	}
+	now := n.options.Clock.Now()
+	n.lastPacketAt.Store(int64(now.Sub(n.startedAt)))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handleDatagram(now, buffer[:size])
+	return nil
+}
+
+// drainReceiveBuffer handles the datagrams that were received before forwarding ended. The
+// routers may still send when the grace period ends, if no other node is ready.
+func (n *Node) drainReceiveBuffer() {
+	buffer := make([]byte, maxDatagramBytes)
+	for range maxDrainedDatagrams {
+		if n.conn.SetReadDeadline(time.Now().Add(drainReadTimeout)) != nil || n.readDatagram(buffer) != nil {
+			return
+		}
 	}
 }
 
--- a/internal/transport/direct/node_test.go
+++ b/internal/transport/direct/node_test.go
@@ -59,19 +59,20 @@
 func startNode(t *testing.T) *testNode { return startNodeWithClock(t, nil) }
 
 func startNodeWithClock(t *testing.T, clock *boottime.Clock) *testNode {
+	return startNodeWithOptions(t, Options{Clock: clock, GracePeriod: 6 * time.Second})
+}
+
+// startNodeWithOptions starts a node with sockets on loopback and the given clock and grace
+// period.
+func startNodeWithOptions(t *testing.T, o Options) *testNode {
 	target, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
 	dispatcher := dsr.NewDispatcher(dsr.Options{Place: "a", MaxFlowLifetime: time.Minute})
-	node, err := New(Options{
-		PacketAddress: netip.MustParseAddrPort("127.0.0.1:0"),
-		ReadyAddress:  netip.MustParseAddrPort("127.0.0.1:0"),
-		ReadyPath:     "/ready",
-		GracePeriod:   6 * time.Second,
-		Codec:         testCodec{},
-		Dispatcher:    dispatcher,
-		Logger:        log.NewNopLogger(),
-		Clock:         clock,
-	})
+	o.PacketAddress = netip.MustParseAddrPort("127.0.0.1:0")
+	o.ReadyAddress = netip.MustParseAddrPort("127.0.0.1:0")
+	o.ReadyPath = "/ready"
+	o.Codec, o.Dispatcher, o.Logger = testCodec{}, dispatcher, log.NewNopLogger()
+	node, err := New(o)
 	assert.NilError(t, err)
 	caller, err := net.DialUDP("udp4", nil, node.conn.LocalAddr().(*net.UDPAddr))
 	assert.NilError(t, err)
@@ -143,6 +144,25 @@
 	assert.NilError(t, <-n.done)
 }
 
+// Guards against a planned stop under load that discards the packets which the node has
+// received but not yet read. The routers may still send when the grace period ends.
+func TestStopForwardsReceivedPackets(t *testing.T) {
+	const packets = 200
+	n := startNodeWithOptions(t, Options{GracePeriod: shutdownReserve})
+	n.setRoutesAndTargets()
+	n.node.mu.Lock() // blocks the reader, so that packets wait in the socket
+	for i := range packets {
+		n.send(openerByte, uint16(1000+i))
+	}
+	n.stop()
+	time.Sleep(2 * tickInterval) // the node stops forwarding at once, as its grace period has no time for more
+	n.node.mu.Unlock()
+	for range packets {
+		n.receive()
+	}
+	assert.NilError(t, <-n.done)
+}
+
 // Guards against malformed datagrams that end the reader or are not counted.
 func TestMalformedDatagramDoesNotStopReader(t *testing.T) {
 	n := startNode(t)
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -45,6 +45,9 @@
 	membersRetryDelay = 2 * time.Second
 	// fetchTimeout limits a request to a parent in the same place.
 	fetchTimeout = time.Second
+	// shutdownTimeout is how long a stopping balancer waits for the answers to requests that
+	// it has accepted.
+	shutdownTimeout = 300 * time.Millisecond
 	// maxDatagramBytes exceeds the size of any probe or answer.
 	maxDatagramBytes = 256
 	// readErrorDelay is the delay after a failed socket read, so that a broken socket
@@ -151,8 +154,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = server.Close() // the process exits
-			_ = s.conn.Close()
+			s.shutDown(server)
 			return
 		case <-ticker.C:
 			s.sendProbe(s.options.Now())
@@ -160,6 +162,17 @@
 	}
 }
 
+// shutDown waits for the answers to the requests that the server has accepted, and closes
+// the sockets.
+func (s *Service) shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close() // the requests that are left get no answer; their followers read the platform
+	}
+	_ = s.conn.Close()
+}
+
 // sendProbe sends a probe to the parent, which answers with the age of its data.
 func (s *Service) sendProbe(now time.Time) {
 	s.mu.Lock()
