Give a starting balancer its first data from its place

Cause: every balancer read all routes and targets from the store at its start.

Change: a balancer lists the members of its place first, waits up to 200 ms for its ancestors in the tree of the feed, and gets complete routes and targets from the first one with data, compressed. Data that are older than those that a follower may use are not taken at the start, so a restart brings no target back that has left. Responses of a parent are limited to 8 MB.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -123,13 +123,20 @@
 	Removed      []protocol.Endpoint
 }
 
-// RoutesDelta returns the changes after a version. ok is false if there are more than
-// maxRoutesDeltaEntries, or if the version is older than the first or newer than the
-// current one here.
+// RoutesDelta returns the changes after a version, or all routes after version 0. ok is
+// false if there are more changes than maxRoutesDeltaEntries, or if the version is older
+// than the first or newer than the current one here.
 func (d *Dispatcher) RoutesDelta(afterVersion uint64) (delta RoutesDelta, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.routes
+	if afterVersion == 0 && t.firstVersion > 0 {
+		delta = RoutesDelta{Version: t.version, IdleTimeout: t.idleTimeout}
+		for _, r := range t.current {
+			delta.Changed = append(delta.Changed, r)
+		}
+		return delta, true
+	}
 	if afterVersion < t.firstVersion || afterVersion > t.version || t.firstVersion == 0 {
 		return RoutesDelta{}, false
 	}
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -8,6 +8,10 @@
 // the root and reads the platform. Any other balancer also reads the platform while its
 // data are older than a maximum age, so correctness does not depend on all balancers
 // computing the same tree or on the parents being alive.
+//
+// A balancer that has just started waits for a short time for the data of its parent.
+// When hundreds of balancers start at once, the platform's link would otherwise be the
+// bottleneck.
 package feed
 
 import (
@@ -31,6 +35,13 @@
 	// maxUnansweredProbes is the number of consecutive unanswered probes that are
 	// tolerated. The next probe marks the parent as unresponsive.
 	maxUnansweredProbes = 4
+	// startTimeout is how long a balancer that has just started waits for data from an ancestor
+	// before it reads the platform. Callers retransmit their openers after 200 ms.
+	startTimeout = 200 * time.Millisecond
+	// minMembersForStart is the number of members of a place from which a balancer that has
+	// just started waits for its parent. The balancers of a smaller place are quicker when
+	// each reads the platform.
+	minMembersForStart = 10
 	// parentRetryDelay is how long an unresponsive parent is skipped before it is probed
 	// again.
 	parentRetryDelay = 10 * time.Second
@@ -50,6 +61,10 @@
 	// maxAge is the age above which replicated data are too old, so that the balancer
 	// must read the platform.
 	maxAge time.Duration
+	// startDeadline is until when the balancer waits for its first data, zero when it does
+	// not wait any more.
+	startDeadline time.Time
+	membersKnown  bool
 
 	ancestors []Member
 	// unanswered counts the consecutive probes that were not answered.
@@ -59,20 +74,40 @@
 	asOf time.Time
 }
 
-// NewFollower returns a follower without members, which must read the platform.
-func NewFollower(self string, maxAge time.Duration) *Follower {
-	return &Follower{self: self, maxAge: maxAge, unresponsiveSince: make(map[string]time.Time)}
+// NewFollower returns a follower without members and data that starts at the given time.
+func NewFollower(self string, maxAge time.Duration, now time.Time) *Follower {
+	return &Follower{self: self, maxAge: maxAge, startDeadline: now.Add(startTimeout), unresponsiveSince: make(map[string]time.Time)}
 }
 
 // SetMembers replaces the list of members of the place.
 func (f *Follower) SetMembers(members []Member) {
 	f.ancestors = treeAncestors(f.self, members)
+	f.membersKnown = true
+	if len(members) < minMembersForStart {
+		f.EndStart()
+	}
+}
+
+// EndStart ends the wait for the first data from an ancestor.
+func (f *Follower) EndStart() { f.startDeadline = time.Time{} }
+
+// Starting reports whether the balancer waits for its first data: it does not know its
+// ancestors yet, or one of them may still answer.
+func (f *Follower) Starting(now time.Time) bool {
+	if !f.asOf.IsZero() || !now.Before(f.startDeadline) {
+		return false
+	}
+	_, hasParent := f.Parent(now)
+	return hasParent || !f.membersKnown
 }
 
 // treeAncestors returns the ancestors of a balancer in the tree, nearest first. A
-// balancer that is not in the list has none.
+// balancer that is not in the list has the place in the tree that it will have.
 func treeAncestors(self string, members []Member) []Member {
 	ordered := slices.Clone(members)
+	if !slices.ContainsFunc(members, func(m Member) bool { return m.VM == self }) {
+		ordered = append(ordered, Member{VM: self})
+	}
 	hash := func(m Member) uint64 { return state.Mix(xxhash.Sum64String(m.VM), 0) }
 	slices.SortFunc(ordered, func(a, b Member) int { return cmp.Compare(hash(a), hash(b)) })
 	position := slices.IndexFunc(ordered, func(m Member) bool { return m.VM == self })
@@ -106,7 +141,7 @@
 }
 
 // RecordAnswer records an answer of the parent. asOf is the time at which the parent's
-// data were known to match the platform's.
+// data were known to match the platform's, zero if the parent has no data.
 func (f *Follower) RecordAnswer(parent Member, asOf time.Time) {
 	delete(f.unresponsiveSince, parent.VM)
 	f.unanswered = 0
@@ -118,6 +153,9 @@
 // MustReadPlatform reports whether the balancer must read the platform: it has no
 // parent, or the data from its parent are older than the maximum age.
 func (f *Follower) MustReadPlatform(now time.Time) bool {
+	if f.Starting(now) {
+		return false
+	}
 	if _, ok := f.Parent(now); !ok {
 		return true
 	}
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/klauspost/compress/gzhttp"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -31,6 +33,11 @@
 	// probesPerMaxAge is the number of probes within the maximum age, so that data stay
 	// recent even if several probes are lost.
 	probesPerMaxAge = 7
+	// startProbeInterval is the interval of the probes of a balancer that has just started.
+	startProbeInterval = 10 * time.Millisecond
+	// maxResponseBytes limits the size of a decompressed response of a parent. The routes and
+	// targets that are planned for two years from now take less than 1 MB.
+	maxResponseBytes = 8 << 20
 	// minMembersInterval is the minimum interval between two reads of the member list. A
 	// balancer that is missing from the list reads the platform until the next read.
 	minMembersInterval = 10 * time.Second
@@ -124,8 +131,8 @@
 		maxAge:        maxAge,
 		conn:          conn,
 		listener:      listener,
-		client:        &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
-		follower:      feed.NewFollower(o.Self.VM, maxAge),
+		client:        &http.Client{Timeout: fetchTimeout, Transport: &boundedTransport{http.Transport{MaxIdleConnsPerHost: 1}}},
+		follower:      feed.NewFollower(o.Self.VM, maxAge, o.Now()),
 		readsPlatform: true,
 	}, nil
 }
@@ -145,10 +152,12 @@
 
 // Run serves followers and follows the parent until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	server := &http.Server{Handler: wire.NewFeedServer(&handler{dispatcher: s.options.Dispatcher}), ReadHeaderTimeout: fetchTimeout}
+	// Complete routes and targets are sent compressed, because links may be as slow as 10 Mbit/s.
+	server := &http.Server{Handler: gzhttp.GzipHandler(wire.NewFeedServer(&handler{dispatcher: s.options.Dispatcher})), ReadHeaderTimeout: fetchTimeout}
 	go func() { _ = server.Serve(s.listener) }() // returns ErrServerClosed when Run closes the server
 	go s.receive(ctx)
 	go s.pollMembers(ctx)
+	s.probeUntilStarted(ctx)
 	ticker := time.NewTicker(s.maxAge / probesPerMaxAge)
 	defer ticker.Stop()
 	for {
@@ -162,6 +171,27 @@
 	}
 }
 
+// probeUntilStarted sends probes at a short interval until this balancer has its first data
+// or must read the platform.
+func (s *Service) probeUntilStarted(ctx context.Context) {
+	ticker := time.NewTicker(startProbeInterval)
+	defer ticker.Stop()
+	for s.starting() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sendProbe(s.options.Now())
+		}
+	}
+}
+
+func (s *Service) starting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.Starting(s.options.Now())
+}
+
 // shutDown waits for the answers to the requests that the server has accepted, and closes
 // the sockets.
 func (s *Service) shutDown(server *http.Server) {
@@ -245,11 +275,11 @@
 	}
 }
 
-// sendState answers a probe with how recent the data here are. A balancer without data
-// does not answer.
+// sendState answers a probe with how recent the data here are.
 func (s *Service) sendState(now time.Time, sequence uint64, to netip.AddrPort) {
 	summary, ok := s.options.Dispatcher.Summary()
 	if !ok {
+		s.send(&wire.FeedState{Sequence: sequence, AgeMs: math.MaxUint32}, kindState, to)
 		return
 	}
 	s.send(&wire.FeedState{
@@ -273,7 +303,16 @@
 		return
 	}
 	parent := s.parent
+	if state.GetEpoch() == 0 { // the parent has no data yet
+		s.follower.RecordAnswer(parent, time.Time{})
+		return
+	}
 	asOf := s.probeSentAt.Add(-time.Duration(state.GetAgeMs()) * time.Millisecond)
+	if now := s.options.Now(); s.follower.Starting(now) && now.Sub(asOf) > s.maxAge {
+		// A target that has left meanwhile must not be in use again after a restart here.
+		s.follower.EndStart()
+		return
+	}
 	newRoutes := state.GetRoutesVersion() > ownSummary.RoutesVersion
 	if ownSummary.Listings != s.ownListings {
 		s.parentEpoch, s.ownListings = 0, ownSummary.Listings
@@ -382,30 +421,46 @@
 
 // nextMembersInterval returns the interval until the next read of the member list. It
 // grows with the list, because an outdated list only means that the balancer follows
-// another parent than with the current one. If the balancer is missing from the list,
-// it has no parent at all, so the minimum interval applies.
+// another parent than with the current one. If the balancer is missing from the list, the
+// others do not follow it, so the minimum interval applies.
 func nextMembersInterval(self string, members []feed.Member) time.Duration {
-	if !slices.ContainsFunc(members, func(m feed.Member) bool { return m.VM == self }) {
+	if !isListed(self, members) {
 		return minMembersInterval
 	}
 	return max(minMembersInterval, time.Duration(len(members))*membersIntervalPerMember)
 }
 
-// refreshMembers registers this balancer, reads and applies the member list, and returns
-// the interval until the next read.
+// refreshMembers reads and applies the member list, registers this balancer, and returns
+// the interval until the next read. The list comes first, because a balancer that has just
+// started finds its parent in it.
 func (s *Service) refreshMembers(ctx context.Context) (time.Duration, error) {
-	if err := s.options.Directory.Register(ctx, s.options.Self); err != nil {
-		return 0, err
-	}
 	members, err := s.options.Directory.Members(ctx)
+	s.setMembers(members, err)
 	if err != nil {
 		return 0, err
 	}
+	return nextMembersInterval(s.options.Self.VM, members), s.options.Directory.Register(ctx, s.options.Self)
+}
+
+// setMembers applies the result of a read of the member list.
+func (s *Service) setMembers(members []feed.Member, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.follower.EndStart()
+		return
+	}
 	s.follower.SetMembers(members)
-	s.options.Dispatcher.SetPlaceBalancerCount(len(members))
-	return nextMembersInterval(s.options.Self.VM, members), nil
+	count := len(members)
+	if !isListed(s.options.Self.VM, members) {
+		count++
+	}
+	s.options.Dispatcher.SetPlaceBalancerCount(count)
+}
+
+// isListed reports whether a balancer is in a member list.
+func isListed(vm string, members []feed.Member) bool {
+	return slices.ContainsFunc(members, func(m feed.Member) bool { return m.VM == vm })
 }
 
 func (s *Service) log(withLevel func(log.Logger) log.Logger, msg string, keyvals ...any) {
--- /dev/null
+++ b/internal/transport/feed/start_test.go
@@ -0,0 +1,102 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/klauspost/compress/gzhttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// startPlace starts a place of the given size: first the root, which has the platform's
+// data, then all other nodes. It returns the root first.
+func startPlace(t *testing.T, members int) []*node {
+	directory := &memoryDirectory{}
+	var root *node
+	var vms []string
+	for i := range members {
+		vms = append(vms, fmt.Sprintf("vm-%d", i))
+	}
+	isRoot := func(vm string) bool {
+		list := make([]feed.Member, members)
+		for i := range list {
+			list[i].VM = vms[i]
+		}
+		follower := feed.NewFollower(vm, time.Second, time.Time{})
+		follower.SetMembers(list)
+		_, hasParent := follower.Parent(time.Time{}.Add(time.Hour))
+		return !hasParent
+	}
+	for _, vm := range vms {
+		if isRoot(vm) {
+			root = startNode(t, vm, directory)
+		}
+	}
+	waitFor(t, "the root to have no parent", func() bool { return root.service.MustReadPlatform() })
+	root.applyPlatformState(3, 10, "i-1")
+	nodes := []*node{root}
+	for _, vm := range vms {
+		if !isRoot(vm) {
+			nodes = append(nodes, startNode(t, vm, directory))
+		}
+	}
+	return nodes
+}
+
+// Guards against balancers that read the platform at their start although others in the
+// place have its data. When a fleet returns after a power loss, the link of the platform
+// would be the bottleneck.
+func TestStartingBalancersGetDataFromThePlace(t *testing.T) {
+	nodes := startPlace(t, 12)
+	for _, n := range nodes[1:] {
+		waitFor(t, "the node to follow another one", n.follows)
+		assert.Equal(t, n.dispatcher.Gauges().RoutesVersion, uint64(3))
+		assert.Equal(t, n.dispatcher.Gauges().Targets, 1)
+	}
+}
+
+// Guards against a balancer that uses outdated data of its parent after a restart: a target
+// that has left or a withdrawn route would be in use again.
+func TestStartIgnoresOutdatedParent(t *testing.T) {
+	for age, wantFetch := range map[time.Duration]bool{time.Second: true, 20 * time.Second: false} {
+		directory := &memoryDirectory{}
+		for i := range 12 {
+			directory.members = append(directory.members, feed.Member{VM: fmt.Sprintf("vm-%d", i), Address: netip.MustParseAddrPort("127.0.0.1:9")})
+		}
+		s, err := New(Options{Self: feed.Member{VM: "vm-x", Address: freeAddress(t)}, MaxPropagationDelay: 3 * time.Second,
+			Dispatcher: dsr.NewDispatcher(dsr.Options{}), Directory: directory, Logger: log.NewNopLogger()})
+		assert.NilError(t, err)
+		s.setMembers(directory.members, nil)
+		s.sendProbe(s.options.Now())
+		assert.Assert(t, s.starting() && s.parent.VM != "")
+		s.handleState(context.Background(), &wire.FeedState{
+			Sequence: s.probeSequence, RoutesVersion: 3, Epoch: 7, Change: 1, AgeMs: uint32(age.Milliseconds()),
+		}, s.parent.Address)
+		s.mu.Lock()
+		assert.Equal(t, s.fetching, wantFetch, "%s", age)
+		s.mu.Unlock()
+		assert.Equal(t, s.MustReadPlatform(), !wantFetch, "%s", age)
+	}
+}
+
+// Guards against a small compressed response that fills the memory of a follower.
+func TestResponseSizeIsLimited(t *testing.T) {
+	server := httptest.NewServer(gzhttp.GzipHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		_, _ = w.Write(make([]byte, 4*maxResponseBytes)) // the client sees the failure
+	})))
+	defer server.Close()
+	client := wire.NewFeedProtobufClient(server.URL, &http.Client{Transport: &boundedTransport{}})
+	_, err := client.Targets(context.Background(), &wire.FeedTargetsRequest{})
+	assert.ErrorContains(t, err, "too large")
+}
