Let the packets of the whole place end the warm-up of the loss estimate

Cause: a balancer that has just started assumes a loss of 2 % for its first 400 packets, and then needs five unanswered packets to take a target for dead.

A lower prior: it resets flows of living targets after a start on a network that loses packets (TestSteadyLossResetsNoFlowAfterStart).

Change: recent packets and lost ones are summed along the tree of the feed, in every fourth probe; once the place has 400 recent packets their loss counts during the warm-up.

--- a/internal/coordination/dsr/loss.go
+++ b/internal/coordination/dsr/loss.go
@@ -32,7 +32,8 @@
 	initialLossRate = 0.0199
 	// warmupPackets is the number of packets after which initialLossRate no longer applies.
 	// At that loss rate, one start in 3,000 sees this many packets without a loss:
-	// (1-initialLossRate)^400.
+	// (1-initialLossRate)^400. The packets of the other balancers of the place count too: at
+	// 40 balancers a place, one of them alone sees seven packets a second.
 	warmupPackets = 400
 )
 
@@ -44,6 +45,8 @@
 	steady, burst lossCounter
 	// totalSent counts the packets since the start.
 	totalSent int
+	// place holds the recent packets of all balancers of the place.
+	place lossCounter
 }
 
 // lossCounter counts packets and lost packets, with exponential decay.
@@ -84,14 +87,33 @@
 	l.burst.lost += float64(packets)
 }
 
-// lossRate returns the higher of the two estimates, and at least initialLossRate during
-// the warm-up.
+// lossRate returns the higher of the two estimates. During the warm-up it returns at least
+// the loss rate of the place, or initialLossRate if the place has too few packets, too.
 func (l *lossEstimator) lossRate() float64 {
 	rate := max(l.steady.lossRate(), l.burst.lossRate())
-	if !l.warmedUp() {
-		rate = max(rate, initialLossRate)
+	switch {
+	case l.warmedUp():
+		return rate
+	case l.place.packets >= warmupPackets:
+		return max(rate, l.place.lossRate())
 	}
-	return rate
+	return max(rate, initialLossRate)
+}
+
+// Loss returns the numbers of recent packets and of those that were lost, as this balancer
+// has seen them.
+func (d *Dispatcher) Loss() (packets, lost float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loss.steady.packets, d.loss.steady.lost
+}
+
+// SetPlaceLoss sets the numbers of recent packets, and of those that were lost, of all
+// balancers of the place.
+func (d *Dispatcher) SetPlaceLoss(packets, lost float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loss.place = lossCounter{packets: packets, lost: lost}
 }
 
 // failureThreshold returns the number of consecutive unanswered packets after which a
--- a/internal/coordination/dsr/loss_test.go
+++ b/internal/coordination/dsr/loss_test.go
@@ -225,14 +225,46 @@
 			other.exchange()
 		}
 		b.advance(time.Second)
-		c.sendRequest(100)
-		var last Decision
-		for range minFailureThreshold {
-			b.advance(250 * time.Millisecond)
-			other.exchange()
-			last = c.retransmit(100)
-		}
+		wasReset := b.retransmitsUntilReset(c, other)
 		assert.Equal(t, b.d.loss.totalSent, packets)
-		assert.Equal(t, last.Action == ActionReset, reset, "after %d packets", packets)
+		assert.Equal(t, wasReset, reset, "after %d packets", packets)
+	}
+}
+
+// Guards against open flows that wait for their timeout at a dead target, because this
+// balancer sees too few packets to learn that the network loses none: at 40 balancers a
+// place the warm-up took a minute. Also guards against taking the loss of the place for
+// smaller than it is.
+func TestPacketsOfThePlaceEndTheWarmup(t *testing.T) {
+	for _, test := range []struct {
+		packets, lost float64
+		wantReset     bool
+	}{
+		{packets: 0, wantReset: false},
+		{packets: warmupPackets - 1, wantReset: false},
+		{packets: 5000, wantReset: true},
+		{packets: 5000, lost: 100, wantReset: false}, // 2 % are lost
+	} {
+		b := newTestBalancerInWarmup(t, 3)
+		b.d.SetPlaceLoss(test.packets, test.lost)
+		c := b.newFlow(0).open()
+		other := b.openToOther(c.target)
+		b.advance(time.Second)
+		reset := b.retransmitsUntilReset(c, other)
+		assert.Equal(t, reset, test.wantReset, "%.0f packets of the place, %.0f of them lost", test.packets, test.lost)
+	}
+}
+
+// retransmitsUntilReset sends a request on c, whose target is dead, and as many
+// retransmissions as lead to a reset on a network without loss. It reports whether the
+// last one did. The target of other answers meanwhile.
+func (b *testBalancer) retransmitsUntilReset(c, other *callerFlow) bool {
+	c.sendRequest(100)
+	var last Decision
+	for range minFailureThreshold {
+		b.advance(250 * time.Millisecond)
+		other.exchange()
+		last = c.retransmit(100)
 	}
+	return last.Action == ActionReset
 }
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -38,6 +38,8 @@
 	// maxResponseBytes limits the size of a decompressed response of a parent. The routes and
 	// targets that are planned for two years from now take less than 1 MB.
 	maxResponseBytes = 8 << 20
+	// probesPerLossReport is the number of probes of which one carries the loss counts.
+	probesPerLossReport = 4
 	// minMembersInterval is the minimum interval between two reads of the member list. A
 	// balancer that is missing from the list reads the platform until the next read.
 	minMembersInterval = 10 * time.Second
@@ -108,6 +110,7 @@
 	ownListings          uint64
 	fetching             bool
 	readsPlatform        bool
+	loss                 feed.LossAggregate
 }
 
 // New returns a service with open sockets. Run starts it.
@@ -218,7 +221,11 @@
 	s.follower.RecordProbe(now, parent)
 	s.probeSequence++
 	s.probeSentAt = now
-	s.send(&wire.FeedProbe{Sequence: s.probeSequence}, kindProbe, parent.Address)
+	probe := &wire.FeedProbe{Sequence: s.probeSequence}
+	if s.probeSequence%probesPerLossReport == 1 {
+		probe.SubtreeLoss = encodeLoss(s.loss.Subtree(now, s.ownLoss()))
+	}
+	s.send(probe, kindProbe, parent.Address)
 }
 
 // Kinds of datagrams, given by the first byte.
@@ -265,7 +272,7 @@
 	case kindProbe:
 		var probe wire.FeedProbe
 		if proto.Unmarshal(data, &probe) == nil {
-			s.sendState(now, probe.GetSequence(), from)
+			s.sendState(now, &probe, from)
 		}
 	case kindState:
 		var state wire.FeedState
@@ -276,14 +283,15 @@
 }
 
 // sendState answers a probe with how recent the data here are.
-func (s *Service) sendState(now time.Time, sequence uint64, to netip.AddrPort) {
+func (s *Service) sendState(now time.Time, probe *wire.FeedProbe, to netip.AddrPort) {
 	summary, ok := s.options.Dispatcher.Summary()
 	if !ok {
-		s.send(&wire.FeedState{Sequence: sequence, AgeMs: math.MaxUint32}, kindState, to)
+		s.send(&wire.FeedState{Sequence: probe.GetSequence(), AgeMs: math.MaxUint32}, kindState, to)
 		return
 	}
 	s.send(&wire.FeedState{
-		Sequence:      sequence,
+		Sequence:      probe.GetSequence(),
+		PlaceLoss:     s.exchangeLoss(now, probe.GetSubtreeLoss(), to),
 		RoutesVersion: summary.RoutesVersion,
 		Epoch:         summary.Epoch,
 		Change:        summary.ChangeSequence,
@@ -302,6 +310,7 @@
 	if from != s.parent.Address || state.GetSequence() != s.probeSequence || s.fetching {
 		return
 	}
+	s.applyPlaceLoss(state.GetPlaceLoss())
 	parent := s.parent
 	if state.GetEpoch() == 0 { // the parent has no data yet
 		s.follower.RecordAnswer(parent, time.Time{})
--- a/internal/transport/feed/start_test.go
+++ b/internal/transport/feed/start_test.go
@@ -100,3 +100,17 @@
 	_, err := client.Targets(context.Background(), &wire.FeedTargetsRequest{})
 	assert.ErrorContains(t, err, "too large")
 }
+
+// Guards against balancers of a large place that never learn the loss of its packets.
+func TestBalancersLearnThePlacesLoss(t *testing.T) {
+	parent, follower, _ := startPair(t)
+	parent.service.mu.Lock()
+	parent.service.loss.RecordFollower(parent.clock.now(), netip.MustParseAddrPort("10.0.0.9:7000"), feed.LossCounts{Packets: 5000, Lost: 1.5})
+	parent.service.mu.Unlock()
+	parent.repeatUntilStopped(t, func() { parent.applyPlatformState(3, 10, "i-1") })
+	waitFor(t, "the counts of the place", func() bool {
+		follower.service.mu.Lock()
+		defer follower.service.mu.Unlock()
+		return follower.service.loss.Place(follower.clock.now(), feed.LossCounts{}) == feed.LossCounts{Packets: 5000, Lost: 1.5}
+	})
+}
