--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -69,6 +69,7 @@
 	ancestors []Member
 	// unanswered counts the consecutive probes that were not answered.
 	unanswered        int
+	answered          bool // whether any probe was answered
 	unresponsiveSince map[string]time.Time
 	// asOf is the latest time at which the data were known to match the platform's.
 	asOf time.Time
@@ -144,14 +145,26 @@
 // data were known to match the platform's, zero if the parent has no data.
 func (f *Follower) RecordAnswer(parent Member, asOf time.Time) {
 	delete(f.unresponsiveSince, parent.VM)
-	f.unanswered = 0
+	f.unanswered, f.answered = 0, true
+	f.RecordRead(asOf)
+}
+
+// RecordRead records that the balancer has read the platform itself: its data are known to
+// match the platform's as of the given time.
+func (f *Follower) RecordRead(asOf time.Time) {
 	if asOf.After(f.asOf) {
 		f.asOf = asOf
 	}
 }
 
+// HasResponsiveParent reports whether there is a parent that has answered the latest probes.
+func (f *Follower) HasResponsiveParent(now time.Time) bool {
+	_, ok := f.Parent(now)
+	return ok && f.answered && f.unanswered <= 1
+}
+
 // MustReadPlatform reports whether the balancer must read the platform: it has no
-// parent, or the data from its parent are older than the maximum age.
+// parent, or its data are older than the maximum age.
 func (f *Follower) MustReadPlatform(now time.Time) bool {
 	if f.Starting(now) {
 		return false
--- a/internal/coordination/feed/feed_test.go
+++ b/internal/coordination/feed/feed_test.go
@@ -138,3 +138,32 @@
 	f.RecordAnswer(parent, baseTime)
 	assert.Assert(t, !f.MustReadPlatform(baseTime.Add(startTimeout)))
 }
+
+// Guards against a balancer that goes on reading the platform after it has read everything,
+// while it waits for the first answer of its parent, and against one that uses what it has
+// read for too long.
+func TestOwnReadReplacesParent(t *testing.T) {
+	f := NewFollower("vm-x", 2*time.Second, baseTime)
+	f.SetMembers(newMembers(200))
+	f.EndStart()
+	assert.Assert(t, f.MustReadPlatform(baseTime))
+	f.RecordRead(baseTime)
+	assert.Assert(t, !f.MustReadPlatform(baseTime.Add(2*time.Second)))
+	assert.Assert(t, f.MustReadPlatform(baseTime.Add(2*time.Second+1)))
+	root := NewFollower("vm-0", 2*time.Second, baseTime)
+	root.SetMembers(newMembers(1))
+	root.RecordRead(baseTime)
+	assert.Assert(t, root.MustReadPlatform(baseTime), "nobody else reads for the root")
+}
+
+// Guards against relying on a parent that does not answer.
+func TestResponsiveParentAnswersProbes(t *testing.T) {
+	f, parent := newFollowerWithParent(t)
+	assert.Assert(t, f.HasResponsiveParent(baseTime))
+	f.RecordProbe(baseTime, parent)
+	f.RecordProbe(baseTime, parent)
+	assert.Assert(t, !f.HasResponsiveParent(baseTime))
+	fresh := NewFollower("vm-x", 2*time.Second, baseTime)
+	fresh.SetMembers(newMembers(200))
+	assert.Assert(t, !fresh.HasResponsiveParent(baseTime))
+}
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -48,8 +48,9 @@
 	// of the control traffic budget of 2 KB a second.
 	membersIntervalPerMember = time.Second
 	// firstMembersInterval is the interval between the first and the second read. When a
-	// whole place starts, the first read returns few members.
-	firstMembersInterval = 2 * time.Second
+	// whole place starts, the first read returns few members, and each balancer reads the
+	// platform until it knows its parent.
+	firstMembersInterval = 700 * time.Millisecond
 	// membersRetryDelay is the delay after a failed registration or read.
 	membersRetryDelay = 2 * time.Second
 	// fetchTimeout limits a request to a parent in the same place.
@@ -143,8 +144,10 @@
 // MustReadPlatform reports whether this balancer must read the platform itself, and
 // logs each change of the result.
 func (s *Service) MustReadPlatform() bool {
+	summary, _ := s.options.Dispatcher.Summary()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.follower.RecordRead(summary.AsOf)
 	mustRead := s.follower.MustReadPlatform(s.options.Now())
 	if mustRead != s.readsPlatform {
 		s.readsPlatform = mustRead
@@ -153,6 +156,13 @@
 	return mustRead
 }
 
+// HasResponsiveParent reports whether this balancer has a parent that answers its probes.
+func (s *Service) HasResponsiveParent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.HasResponsiveParent(s.options.Now())
+}
+
 // Run serves followers and follows the parent until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	// Complete routes and targets are sent compressed, because links may be as slow as 10 Mbit/s.
