Pass on large configurations through the feed

Cause: a change of more than 100 routes made each balancer read the store, 300 KB and a call each with 1,100 routes, because uncompressed copies for all followers had filled links of 10 Mbit/s.

Ruled out: no limit at all; 2,000 routes take 161 KB for six followers, more than a tenth of a second on such a link. With 1,500 it is kept (TestLargestRoutesDeltaFitsSlowLink).

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -110,9 +110,9 @@
 	}
 }
 
-// maxRoutesDeltaEntries bounds the size of a delta to about 8 KB, so that a balancer
-// with a slow link can send it to all its followers without delaying packets.
-const maxRoutesDeltaEntries = 100
+// MaxRoutesDeltaEntries bounds the compressed size of a delta, so that a balancer with a
+// slow link can send it to all its followers without delaying packets.
+const MaxRoutesDeltaEntries = 1500
 
 // RoutesDelta holds the changes between two versions of the routes.
 type RoutesDelta struct {
@@ -124,7 +124,7 @@
 }
 
 // RoutesDelta returns the changes after a version, or all routes after version 0. ok is
-// false if there are more changes than maxRoutesDeltaEntries, or if the version is older
+// false if there are more changes than MaxRoutesDeltaEntries, or if the version is older
 // than the first or newer than the current one here.
 func (d *Dispatcher) RoutesDelta(afterVersion uint64) (delta RoutesDelta, ok bool) {
 	d.mu.Lock()
@@ -151,7 +151,7 @@
 			delta.Removed = append(delta.Removed, address)
 		}
 	}
-	return delta, len(delta.Changed)+len(delta.Removed) <= maxRoutesDeltaEntries
+	return delta, len(delta.Changed)+len(delta.Removed) <= MaxRoutesDeltaEntries
 }
 
 // ApplyRoutesDelta applies a newer version of the routes, given as its changes to the
--- a/internal/transport/feed/start_test.go
+++ b/internal/transport/feed/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -11,10 +12,12 @@
 
 	"github.com/go-kit/log"
 	"github.com/klauspost/compress/gzhttp"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
+	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 )
 
@@ -114,3 +117,30 @@
 		return follower.service.loss.Place(follower.clock.now(), feed.LossCounts{}) == feed.LossCounts{Packets: 5000, Lost: 1.5}
 	})
 }
+
+// Guards against a routes delta that delays packets by more than a tenth of a second when a
+// balancer with a link of 10 Mbit/s sends it to all its followers.
+func TestLargestRoutesDeltaFitsSlowLink(t *testing.T) {
+	const linkBytesPerSecond, maxDelaySeconds = 10_000_000 / 8, 0.1
+	random := rand.New(rand.NewPCG(7, 7))
+	var delta dsr.RoutesDelta
+	for i := range dsr.MaxRoutesDeltaEntries {
+		delta.Changed = append(delta.Changed, &dsr.Route{
+			Name:    fmt.Sprintf("r-%07x", random.Uint32()),
+			Address: protocol.Endpoint{IP: [4]byte{198, 18, byte(i >> 8), byte(i)}, Port: uint16(8000 + i%3)}, Timeout: 2 * time.Second,
+			LatencyTarget: time.Duration(100+i%5) * time.Millisecond, Priority: i % 3,
+			Backends: []dsr.Backend{{Service: fmt.Sprintf("service-%d", i%20), Weight: 1, MaxFlowsPerTarget: 2000}},
+		})
+	}
+	encoded, err := proto.Marshal(encodeRoutesDelta(delta))
+	assert.NilError(t, err)
+	handler := gzhttp.GzipHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		_, _ = w.Write(encoded) // a recorder does not fail
+	}))
+	recorder, request := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil)
+	request.Header.Set("Accept-Encoding", "gzip")
+	handler.ServeHTTP(recorder, request)
+	bytes := feed.Fanout * recorder.Body.Len()
+	assert.Assert(t, float64(bytes) <= maxDelaySeconds*linkBytesPerSecond, "%d bytes for %d followers", bytes, feed.Fanout)
+}
