--- a/internal/boottime/clock.go
+++ b/internal/boottime/clock.go
@@ -30,7 +30,7 @@
 	now := c.read()
 	// The monotonic clock is read last, so that a delay between the two reads does not
 	// count as a suspension.
-	suspended := int64(now.Sub(time.Now()))
+	suspended := int64(time.Until(now))
 	for {
 		known := c.suspended.Load()
 		if suspended <= known || c.suspended.CompareAndSwap(known, suspended) {
