--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -41,7 +41,7 @@
 	// minMembersForStart is the number of members of a place from which a balancer that has
 	// just started waits for its parent. The balancers of a smaller place are quicker when
 	// each reads the platform.
-	minMembersForStart = 10
+	minMembersForStart = 30
 	// parentRetryDelay is how long an unresponsive parent is skipped before it is probed
 	// again.
 	parentRetryDelay = 10 * time.Second
