--- /dev/null
+++ b/internal/transport/feed/fetch.go
@@ -0,0 +1,77 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
+	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+)
+
+// fetchFromParent fetches and applies the routes and targets that are newer at the parent.
+func (s *Service) fetchFromParent(ctx context.Context, parent feed.Member, asOf time.Time, needRoutes, needTargets bool) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	client := wire.NewFeedProtobufClient("http://"+parent.Address.String(), s.client)
+	var err error
+	if needRoutes {
+		err = s.fetchRoutes(ctx, client)
+	}
+	if needTargets && err == nil {
+		err = s.fetchTargets(ctx, client)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetching = false
+	if err != nil {
+		s.log(level.Warn, "failed to fetch from the parent", "parent", parent.VM, "err", err)
+		return
+	}
+	s.confirmAsOf(parent, asOf)
+}
+
+// fetchRoutes applies the parent's routes delta. If the parent has none for the version
+// here, it reads the routes from the platform.
+func (s *Service) fetchRoutes(ctx context.Context, client wire.Feed) error {
+	ownSummary, _ := s.options.Dispatcher.Summary()
+	response, err := client.Routes(ctx, &wire.FeedRoutesRequest{AfterVersion: ownSummary.RoutesVersion})
+	if err != nil {
+		return errors.Wrap(err, "routes")
+	}
+	if response.GetReadPlatform() {
+		return s.options.ReadRoutes(ctx)
+	}
+	delta, err := decodeRoutesDelta(ownSummary.RoutesVersion, response)
+	if err != nil {
+		return err
+	}
+	if !s.options.Dispatcher.ApplyRoutesDelta(delta) {
+		return errors.New("the routes here changed during the fetch, so the delta does not apply")
+	}
+	return nil
+}
+
+// fetchTargets applies the parent's changes of targets.
+func (s *Service) fetchTargets(ctx context.Context, client wire.Feed) error {
+	s.mu.Lock()
+	request := &wire.FeedTargetsRequest{Epoch: s.parentEpoch, After: s.parentChangeSequence}
+	s.mu.Unlock()
+	response, err := client.Targets(ctx, request)
+	if err != nil {
+		return errors.Wrap(err, "targets")
+	}
+	delta, err := decodeTargetsDelta(response)
+	if err != nil {
+		return err
+	}
+	if !s.options.Dispatcher.ApplyDelta(s.options.Now(), delta) {
+		return errors.New("the targets of the parent are of an older platform revision than those here")
+	}
+	s.mu.Lock()
+	s.parentEpoch, s.parentChangeSequence = delta.Epoch, delta.ChangeSequence
+	s.mu.Unlock()
+	return nil
+}
