Share the stop of HTTP servers and the test whether a balancer is listed

The control channel and the feed stopped their servers by the same lines, and the tree and its transport each looked for a member in the list. The outcome of a write is overridden in one place, and the test of a starting place finds its root once.

--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -54,6 +54,11 @@
 	Address netip.AddrPort
 }
 
+// IsListed reports whether a balancer is in a member list.
+func IsListed(vm string, members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.VM == vm })
+}
+
 // Follower selects the parent of one balancer and tracks how recent the data are that
 // the balancer replicates from it.
 type Follower struct {
@@ -106,7 +111,7 @@
 // balancer that is not in the list has the place in the tree that it will have.
 func treeAncestors(self string, members []Member) []Member {
 	ordered := slices.Clone(members)
-	if !slices.ContainsFunc(members, func(m Member) bool { return m.VM == self }) {
+	if !IsListed(self, members) {
 		ordered = append(ordered, Member{VM: self})
 	}
 	hash := func(m Member) uint64 { return state.Mix(xxhash.Sum64String(m.VM), 0) }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -95,10 +95,10 @@
 		return WriteUnknown, Record{}, errors.Wrapf(err, "write %s: request was sent but no complete response was received", key)
 	}
 	outcome, record, err := writeOutcome(response)
-	if err == nil {
-		err = c.checkWritten(outcome, record, key, value, expectedRevision)
+	if err != nil {
+		return outcome, record, errors.Wrapf(err, "write %s", key)
 	}
-	if err != nil && outcome != WriteFailed {
+	if err = c.checkWritten(outcome, record, key, value, expectedRevision); err != nil {
 		outcome = WriteUnknown
 	}
 	return outcome, record, errors.Wrapf(err, "write %s", key)
--- a/internal/transport/control/control.go
+++ b/internal/transport/control/control.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 	"github.com/kumquatworks/kumquatworks/internal/publish"
 	"github.com/kumquatworks/kumquatworks/internal/state"
+	"github.com/kumquatworks/kumquatworks/internal/transport/httpserver"
 )
 
 // Snapshot is a configuration that came into force.
@@ -227,7 +228,7 @@
 	group.Go(func() error {
 		defer stopLoop() // only then, since requests are answered in the event loop
 		<-ctx.Done()
-		p.shutDownServer(server)
+		httpserver.Stop(server, serverShutdownTimeout)
 		return nil
 	})
 	group.Go(func() error {
@@ -242,15 +243,6 @@
 	return err
 }
 
-// shutDownServer accepts no further requests and waits for the answers to the others.
-func (p *Plane) shutDownServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close() // the requests that are left get no answer
-	}
-}
-
 // runInLoop runs f in the event loop and returns when f has returned. It fails without
 // running f if ctx ends first or the loop has ended.
 func (p *Plane) runInLoop(ctx context.Context, f func(now time.Time)) error {
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
+	"github.com/kumquatworks/kumquatworks/internal/transport/httpserver"
 )
 
 const (
@@ -175,7 +176,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			s.shutDown(server)
+			httpserver.Stop(server, shutdownTimeout)
+			_ = s.conn.Close() // the process exits
 			return
 		case <-ticker.C:
 			s.sendProbe(s.options.Now())
@@ -204,17 +206,6 @@
 	return s.follower.Starting(s.options.Now())
 }
 
-// shutDown waits for the answers to the requests that the server has accepted, and closes
-// the sockets.
-func (s *Service) shutDown(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close() // the requests that are left get no answer; their followers read the platform
-	}
-	_ = s.conn.Close()
-}
-
 // sendProbe sends a probe to the parent, which answers with the age of its data.
 func (s *Service) sendProbe(now time.Time) {
 	s.mu.Lock()
--- a/internal/transport/feed/members.go
+++ b/internal/transport/feed/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -34,7 +33,7 @@
 // another parent than with the current one. If the balancer is missing from the list, the
 // others do not follow it, so the minimum interval applies.
 func nextMembersInterval(self string, members []feed.Member) time.Duration {
-	if !isListed(self, members) {
+	if !feed.IsListed(self, members) {
 		return minMembersInterval
 	}
 	return max(minMembersInterval, time.Duration(len(members))*membersIntervalPerMember)
@@ -62,13 +61,8 @@
 	}
 	s.follower.SetMembers(members)
 	count := len(members)
-	if !isListed(s.options.Self.VM, members) {
+	if !feed.IsListed(s.options.Self.VM, members) {
 		count++
 	}
 	s.options.Dispatcher.SetPlaceBalancerCount(count)
 }
-
-// isListed reports whether a balancer is in a member list.
-func isListed(vm string, members []feed.Member) bool {
-	return slices.ContainsFunc(members, func(m feed.Member) bool { return m.VM == vm })
-}
--- a/internal/transport/feed/start_test.go
+++ b/internal/transport/feed/start_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,34 +25,24 @@
 // startPlace starts a place of the given size: first the root, which has the platform's
 // data, then all other nodes. It returns the root first.
 func startPlace(t *testing.T, members int) []*node {
-	directory := &memoryDirectory{}
-	var root *node
-	var vms []string
-	for i := range members {
-		vms = append(vms, fmt.Sprintf("vm-%d", i))
+	list := make([]feed.Member, members)
+	for i := range list {
+		list[i].VM = fmt.Sprintf("vm-%d", i)
 	}
-	isRoot := func(vm string) bool {
-		list := make([]feed.Member, members)
-		for i := range list {
-			list[i].VM = vms[i]
-		}
-		follower := feed.NewFollower(vm, time.Second, time.Time{})
+	isRoot := func(m feed.Member) bool {
+		follower := feed.NewFollower(m.VM, time.Second, time.Time{})
 		follower.SetMembers(list)
 		_, hasParent := follower.Parent(time.Time{}.Add(time.Hour))
 		return !hasParent
 	}
-	for _, vm := range vms {
-		if isRoot(vm) {
-			root = startNode(t, vm, directory)
-		}
-	}
-	waitFor(t, "the root to have no parent", func() bool { return root.service.MustReadPlatform() })
-	root.applyPlatformState(3, 10, "i-1")
-	nodes := []*node{root}
-	for _, vm := range vms {
-		if !isRoot(vm) {
-			nodes = append(nodes, startNode(t, vm, directory))
-		}
+	root := slices.IndexFunc(list, isRoot)
+	list[0], list[root] = list[root], list[0]
+	directory := &memoryDirectory{}
+	nodes := []*node{startNode(t, list[0].VM, directory)}
+	waitFor(t, "the root to have no parent", nodes[0].service.MustReadPlatform)
+	nodes[0].applyPlatformState(3, 10, "i-1")
+	for _, m := range list[1:] {
+		nodes = append(nodes, startNode(t, m.VM, directory))
 	}
 	return nodes
 }
