Empty the receive buffer of a stopping node without a read deadline

The drain set a read deadline 5 ms ahead before each read; a process that does not run for 5 ms in between finds the deadline exceeded and leaves the packets unread, on VMs of 0.06 of a core too.

Ruled out: full socket buffers, which hold 256 such datagrams where the test sends 200.

Change: the buffer is read from the descriptor until it is empty, as the native path did after a freeze; both use package backlog now. Test and bounds are unchanged.

--- a/internal/transport/direct/node.go
+++ b/internal/transport/direct/node.go
@@ -21,6 +21,7 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
 	"github.com/kumquatworks/kumquatworks/internal/telemetry"
+	"github.com/kumquatworks/kumquatworks/internal/transport/backlog"
 )
 
 const (
@@ -53,9 +54,8 @@
 	// leaveQuietPeriod is the time without packets after which a leaving balancer assumes
 	// that no router sends to it any more.
 	leaveQuietPeriod = 500 * time.Millisecond
-	// drainReadTimeout is how long a stopping node waits for another datagram in its receive
-	// buffer, maxDrainedDatagrams the number of datagrams that it still forwards.
-	drainReadTimeout    = 5 * time.Millisecond
+	// maxDrainedDatagrams is the number of received datagrams that a stopping node still
+	// forwards.
 	maxDrainedDatagrams = 1 << 14
 	// shutdownReserve is the part of the grace period that is kept for the shutdown after
 	// forwarding has ended.
@@ -260,36 +260,35 @@
 func (n *Node) readLoop(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
-		err := n.readDatagram(buffer)
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil {
 			n.log(level.Error, "read", "failed to read from the packet socket", "err", err)
 			time.Sleep(readErrorDelay)
+			continue
 		}
+		n.receiveDatagram(buffer[:size])
 	}
 }
 
-// readDatagram reads and handles one datagram.
-func (n *Node) readDatagram(buffer []byte) error {
-	size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
-	if err != nil {
-		return err
-	}
+// receiveDatagram handles a datagram that was just read.
+func (n *Node) receiveDatagram(datagram []byte) {
 	now := n.options.Clock.Now()
 	n.lastPacketAt.Store(int64(now.Sub(n.startedAt)))
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.handleDatagram(now, buffer[:size])
-	return nil
+	n.handleDatagram(now, datagram)
 }
 
 // drainReceiveBuffer handles the datagrams that were received before forwarding ended. The
 // routers may still send when the grace period ends, if no other node is ready.
 func (n *Node) drainReceiveBuffer() {
 	buffer := make([]byte, maxDatagramBytes)
-	for range maxDrainedDatagrams {
-		if n.conn.SetReadDeadline(time.Now().Add(drainReadTimeout)) != nil || n.readDatagram(buffer) != nil {
-			return
-		}
+	err := backlog.Read(n.conn, buffer, maxDrainedDatagrams, func(size int) { n.receiveDatagram(buffer[:size]) })
+	if err != nil {
+		n.log(level.Error, "stop", "failed to empty the receive buffer", "err", err)
 	}
 }
 
--- a/internal/transport/freeze.go
+++ b/internal/transport/freeze.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/kumquatworks/kumquatworks/internal/transport/backlog"
 )
 
 // maxDiscardedDatagrams limits the number of datagrams that are discarded after a
@@ -73,29 +74,11 @@
 }
 
 // discardBacklog empties the receive buffer and returns the number of discarded
-// datagrams. It reads from the file descriptor directly, because a blocked reader
-// holds the read lock of the connection.
+// datagrams.
 func (b *Balancer) discardBacklog() int {
-	raw, err := b.conn.SyscallConn()
-	if err != nil {
-		b.log(level.Error, "freeze", "failed to access the file descriptor of the data socket", "err", err)
-		return 0
-	}
 	discarded := 0
 	var buffer [1]byte
-	err = raw.Control(func(fd uintptr) {
-		for discarded < maxDiscardedDatagrams {
-			_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_DONTWAIT)
-			if err == syscall.EINTR {
-				continue
-			}
-			if err != nil {
-				return
-			}
-			discarded++
-		}
-	})
-	if err != nil {
+	if err := backlog.Read(b.conn, buffer[:], maxDiscardedDatagrams, func(int) { discarded++ }); err != nil {
 		b.log(level.Error, "freeze", "failed to discard the receive backlog", "err", err)
 	}
 	return discarded
