Review: keep the scripts out of the loopback networks of the soak

With the port held on all networks of the soak, TestSoak fails with the same message. The scripts use other networks now.

--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -27,6 +27,7 @@
 	readyPort    = 18167
 	internalPort = 17720
 	metricsPort  = "9464"
+	targetPort   = 8080
 
 	// ConfigApply, Drain, Contact and Grace are the bounds config-apply-ms, drain-ms, contact-ms
 	// and grace-s of the site file gldhg-lb.
@@ -135,18 +136,33 @@
 	fmt.Fprintf(f.record, format+"\n", args...)
 }
 
+// Loopback networks of the scripts, given by their second byte. The fault soak of the product uses
+// the networks below.
+const (
+	firstNetwork = 220
+	networkCount = 34
+)
+
 // pickNetwork returns the second byte of a loopback network whose ports are free.
 func pickNetwork() (byte, error) {
-	for n := 20 + os.Getpid()%180; n < 250; n++ {
-		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.%d.1.1:%d", n, standin.PacketPort))
-		if err == nil {
-			c.Close()
+	for i := range networkCount {
+		n := firstNetwork + (os.Getpid()+i)%networkCount
+		if isFree(fmt.Sprintf("127.%d.1.1:%d", n, standin.PacketPort)) && isFree(fmt.Sprintf("127.%d.3.1:%d", n, targetPort)) {
 			return byte(n), nil
 		}
 	}
 	return 0, errors.New("no free loopback network")
 }
 
+func isFree(address string) bool {
+	c, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 func (f *Fleet) address(group, i int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, f.network, byte(group), byte(i)})
 }
@@ -193,7 +209,7 @@
 func (f *Fleet) AddTarget(service, zone string, onOpener func(*standin.Target)) (*standin.Target, error) {
 	n := len(f.targets)
 	id := fmt.Sprintf("i-%08x", 0x7f3a9100+n)
-	t, err := standin.NewTarget(id, service, netip.AddrPortFrom(f.address(3, n+1), 8080), 5*time.Millisecond,
+	t, err := standin.NewTarget(id, service, netip.AddrPortFrom(f.address(3, n+1), targetPort), 5*time.Millisecond,
 		func(e standin.Execution) { f.Record("host %s of %s: runs %q", e.Target, e.Service, e.Request) },
 		func(t *standin.Target, _ netip.AddrPort, _ netip.Addr) {
 			if onOpener != nil {
