--- a/review/1/rollingrestart/main.go
+++ b/review/1/rollingrestart/main.go
@@ -20,8 +20,8 @@
 	// 0.33 s for 4 s.
 	changeInterval = 330 * time.Millisecond
 	changeCount    = 12
-	// restartInterval is the shortest gap_s of roll_term in the site file.
-	restartInterval = 1200 * time.Millisecond
+	// restartInterval is gap_s of the roll_term in the list of troubles of the site file.
+	restartInterval = 1300 * time.Millisecond
 	// changesDelay is the time from the first SIGTERM until the changes begin: a balancer takes
 	// 1.5 s to leave and is started again 0.6 s later.
 	changesDelay = 2 * time.Second
@@ -36,8 +36,9 @@
 	{"front-toronto-1", "toronto"}, {"front-toronto-2", "toronto"},
 }
 
-// restarted are the machines that are stopped and started in turn.
-var restarted = []string{"front-detroit-1", "front-cleveland-2", "front-toronto-1", "front-detroit-3"}
+// restarted are the machines that are stopped and started in turn. Three of seven are a share of 0.43; the
+// entry in the site file has 0.45.
+var restarted = []string{"front-detroit-1", "front-toronto-1", "front-detroit-3"}
 
 func main() { harness.Main(run) }
 
