--- /dev/null
+++ b/internal/coordination/dsr/digest.go
@@ -0,0 +1,54 @@
+package dsr
+
+import (
+	"encoding/binary"
+	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatworks/kumquatworks/internal/state"
+)
+
+// Digest is a hash of data that balancers compare, 0 for none. Its text form is hexadecimal,
+// because many readers of JSON lose digits of large numbers.
+type Digest uint64
+
+// String implements fmt.Stringer.
+func (g Digest) String() string { return strconv.FormatUint(uint64(g), 16) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (g Digest) MarshalText() ([]byte, error) { return []byte(g.String()), nil }
+
+// digest returns a hash of the version and the content of the current routes, by which
+// balancers compare their routes. It does not depend on the order of the routes and is
+// never 0.
+func (t *routeTable) digest() Digest {
+	var sum uint64
+	for _, r := range t.current {
+		sum += r.digest()
+	}
+	return Digest(max(state.Mix(sum, state.Mix(t.version, uint64(t.idleTimeout))), 1))
+}
+
+// digest returns a hash of the settings of a route.
+func (r *Route) digest() uint64 {
+	b := appendString(nil, r.Name)
+	b = append(b, r.Address.IP[:]...)
+	b = binary.BigEndian.AppendUint16(b, r.Address.Port)
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Timeout))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.LatencyTarget))
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Priority))
+	for _, backend := range r.Backends {
+		b = appendString(b, backend.Service)
+		b = binary.BigEndian.AppendUint64(b, math.Float64bits(backend.Weight))
+		b = binary.BigEndian.AppendUint64(b, uint64(backend.MaxFlowsPerTarget))
+	}
+	return xxhash.Sum64(b)
+}
+
+// appendString appends a string with its length, so that successive strings cannot be
+// confused with others of the same concatenation.
+func appendString(b []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...)
+}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -104,7 +104,7 @@
 	if !applied {
 		kind = EventRoutesIgnored
 	}
-	d.addDataEvents(d.targets.asOf, Event{Kind: kind, Revision: set.Version})
+	d.addDataEvents(d.targets.asOf, Event{Kind: kind, Revision: set.Version, RoutesDigest: d.routes.contentDigest})
 	d.signalReady()
 	return applied
 }
@@ -162,6 +162,9 @@
 type Gauges struct {
 	Flows, Targets, Suspected int
 	RoutesVersion, Revision   uint64
+	// RoutesDigest is a hash of the routes in force. It differs between two balancers with
+	// one version if their routes differ.
+	RoutesDigest Digest
 	// LossShare is the estimated loss rate of packets.
 	LossShare float64
 }
@@ -170,7 +173,7 @@
 func (d *Dispatcher) Gauges() Gauges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, Revision: d.targets.revision, LossShare: d.loss.lossRate()}
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate()}
 	for _, targets := range d.targets.byService {
 		for _, t := range targets {
 			g.Targets++
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -31,6 +31,9 @@
 	Target Announcement
 	// Revision is the revision of the store or, for events about routes, their version.
 	Revision uint64
+	// RoutesDigest is the digest of the routes in force after an event about routes, 0 for
+	// other events.
+	RoutesDigest Digest
 	// PreviousAsOf is the time at which the data were last known to match the store before
 	// the change, zero if they never were.
 	PreviousAsOf time.Time
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -54,7 +54,9 @@
 type routeTable struct {
 	version     uint64
 	idleTimeout time.Duration
-	current     map[protocol.Endpoint]*Route
+	// contentDigest is the digest of the current routes, 0 if there are none yet.
+	contentDigest Digest
+	current       map[protocol.Endpoint]*Route
 	// flowLimits holds the number of concurrent flows that a target accepts, by service.
 	flowLimits map[string]int
 	// byService holds the addresses of the routes to each service.
@@ -108,6 +110,7 @@
 			t.changedVersions[address] = set.Version
 		}
 	}
+	t.contentDigest = t.digest()
 	return true
 }
 
