Give deltas of routes only from versions that a balancer had, and verify their result

Its version was the newest one, it counted as up to date and logged nothing.

Cause: a balancer answered 'what changed after version v' from the differences between the versions that it had applied. A version that it had skipped left no trace, but a follower that had read that version itself merged the difference into it.

Change: a balancer gives deltas only from versions that it applied (the last 256); otherwise the follower reads the store. Each delta carries the digest of the routes that it must yield; where it does not, nothing is applied and the follower reads the store. What the store has replaces routes of the same version that a peer sent.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -141,29 +141,31 @@
 type RoutesDelta struct {
 	AfterVersion uint64
 	Version      uint64
-	IdleTimeout  time.Duration
-	Changed      []*Route
-	Removed      []protocol.Endpoint
+	// Digest is the digest of the routes of Version, by which the receiver checks the result.
+	Digest      Digest
+	IdleTimeout time.Duration
+	Changed     []*Route
+	Removed     []protocol.Endpoint
 }
 
 // RoutesDelta returns the changes after a version, or all routes after version 0. ok is
-// false if there are more changes than MaxRoutesDeltaEntries, or if the version is older
-// than the first or newer than the current one here.
+// false if there are more changes than MaxRoutesDeltaEntries, or if the version was not
+// applied here: a balancer that skipped a version does not know what it changed.
 func (d *Dispatcher) RoutesDelta(afterVersion uint64) (delta RoutesDelta, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.routes
-	if afterVersion == 0 && t.firstVersion > 0 {
-		delta = RoutesDelta{Version: t.version, IdleTimeout: t.idleTimeout}
+	if afterVersion == 0 && t.version > 0 {
+		delta = RoutesDelta{Version: t.version, Digest: t.contentDigest, IdleTimeout: t.idleTimeout}
 		for _, r := range t.current {
 			delta.Changed = append(delta.Changed, r)
 		}
 		return delta, true
 	}
-	if afterVersion < t.firstVersion || afterVersion > t.version || t.firstVersion == 0 {
+	if !t.hasApplied(afterVersion) {
 		return RoutesDelta{}, false
 	}
-	delta = RoutesDelta{AfterVersion: afterVersion, Version: t.version, IdleTimeout: t.idleTimeout}
+	delta = RoutesDelta{AfterVersion: afterVersion, Version: t.version, Digest: t.contentDigest, IdleTimeout: t.idleTimeout}
 	for address, version := range t.changedVersions {
 		if version <= afterVersion {
 			continue
@@ -177,19 +179,39 @@
 	return delta, len(delta.Changed)+len(delta.Removed) <= MaxRoutesDeltaEntries
 }
 
-// ApplyRoutesDelta applies a newer version of the routes, given as its changes to the
-// current version. It reports false if the delta is based on another version.
-func (d *Dispatcher) ApplyRoutesDelta(delta RoutesDelta) bool {
-	set, ok := d.mergeRoutes(delta)
-	return ok && d.SetRoutes(set)
-}
+// DeltaResult is the outcome of a delta of routes.
+type DeltaResult string
+
+// Outcomes of a delta of routes.
+const (
+	DeltaApplied DeltaResult = "applied"
+	// DeltaOutdated means that the delta is based on another version than the current one, or
+	// is not newer than that.
+	DeltaOutdated DeltaResult = "outdated"
+	// DeltaMismatch means that the delta does not yield the routes of the balancer that sent it:
+	// the two have different routes of the version on which it is based.
+	DeltaMismatch DeltaResult = "mismatch"
+)
 
-func (d *Dispatcher) mergeRoutes(delta RoutesDelta) (RouteSet, bool) {
+// ApplyRoutesDelta applies a newer version of the routes, given as its changes to the
+// current version.
+func (d *Dispatcher) ApplyRoutesDelta(delta RoutesDelta) DeltaResult {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if delta.AfterVersion != d.routes.version {
-		return RouteSet{}, false
+	if delta.AfterVersion != d.routes.version || delta.Version <= d.routes.version {
+		return DeltaOutdated
 	}
+	set := d.routes.merge(delta)
+	if set.digest() != delta.Digest {
+		d.addDataEvents(d.targets.asOf, Event{Kind: EventRoutesMismatch, Revision: delta.Version, RoutesDigest: d.routes.contentDigest})
+		return DeltaMismatch
+	}
+	d.setRoutes(set, false)
+	return DeltaApplied
+}
+
+// merge returns the routes that result from a delta to the current ones.
+func (t *routeTable) merge(delta RoutesDelta) RouteSet {
 	replaced := make(map[protocol.Endpoint]bool)
 	for _, r := range delta.Changed {
 		replaced[r.Address] = true
@@ -198,10 +220,10 @@
 		replaced[address] = true
 	}
 	set := RouteSet{Version: delta.Version, IdleTimeout: delta.IdleTimeout, Routes: delta.Changed}
-	for address, r := range d.routes.current {
+	for address, r := range t.current {
 		if !replaced[address] {
 			set.Routes = append(set.Routes, r)
 		}
 	}
-	return set, true
+	return set
 }
--- a/internal/coordination/dsr/delta_test.go
+++ b/internal/coordination/dsr/delta_test.go
@@ -145,7 +145,7 @@
 			if rapid.Bool().Draw(r, "follow") {
 				delta, ok := parent.RoutesDelta(follower.routes.version)
 				assert.Assert(t, ok)
-				assert.Assert(t, follower.ApplyRoutesDelta(delta))
+				assert.Equal(t, follower.ApplyRoutesDelta(delta), DeltaApplied)
 				assert.Equal(t, follower.routes.version, version)
 				assert.Equal(t, follower.routes.idleTimeout, parent.routes.idleTimeout)
 				assert.Equal(t, len(follower.routes.current), len(parent.routes.current))
@@ -182,7 +182,83 @@
 	parent.SetRoutes(routeSetForVersion(3, 200))
 	delta, ok := parent.RoutesDelta(0)
 	assert.Assert(t, ok)
-	assert.Assert(t, follower.ApplyRoutesDelta(delta))
+	assert.Equal(t, follower.ApplyRoutesDelta(delta), DeltaApplied)
 	assert.Equal(t, follower.routes.version, uint64(3))
 	assert.Equal(t, len(follower.routes.current), len(parent.routes.current))
 }
+
+// routeSetOf returns a version with routes to the addresses of the given positions.
+func routeSetOf(version uint64, positions ...int) RouteSet {
+	set := RouteSet{Version: version}
+	for _, i := range positions {
+		set.Routes = append(set.Routes, &Route{Name: "r", Address: routeAddress(i), Backends: []Backend{{Service: "web", Weight: 1}}})
+	}
+	return set
+}
+
+// Guards against a follower that keeps a dropped route for good: it has read a version that
+// its parent skipped, and merges the difference between two versions of the parent into it.
+func TestNoDeltaAfterSkippedVersion(t *testing.T) {
+	parent := NewDispatcher(Options{})
+	parent.SetRoutes(routeSetOf(1, 0))
+	parent.SetRoutes(routeSetOf(3, 0))
+	_, ok := parent.RoutesDelta(2)
+	assert.Assert(t, !ok)
+}
+
+// Guards against a follower that adopts the version of a delta with other routes than its
+// parent has in that version.
+func TestDeltaThatYieldsOtherRoutesIsRejected(t *testing.T) {
+	parent, follower := NewDispatcher(Options{}), NewDispatcher(Options{})
+	parent.SetRoutes(routeSetOf(2, 0))
+	parent.SetRoutes(routeSetOf(3, 0, 1))
+	follower.SetRoutes(routeSetOf(2, 0, 2)) // not the parent's version 2
+	delta, ok := parent.RoutesDelta(2)
+	assert.Assert(t, ok)
+	assert.Equal(t, follower.ApplyRoutesDelta(delta), DeltaMismatch)
+	assert.Equal(t, follower.Gauges().RoutesVersion, uint64(2))
+	assert.Equal(t, follower.PopEvents()[1].Kind, EventRoutesMismatch)
+}
+
+// Guards against wrong routes that stay although the balancer reads the right ones of the same
+// version from the store.
+func TestStoreReplacesRoutesOfPeer(t *testing.T) {
+	d := NewDispatcher(Options{})
+	wrong := NewDispatcher(Options{})
+	wrong.SetRoutes(routeSetOf(2, 0, 1))
+	delta, ok := wrong.RoutesDelta(0)
+	assert.Assert(t, ok)
+	assert.Equal(t, d.ApplyRoutesDelta(delta), DeltaApplied)
+	assert.Assert(t, d.SetRoutes(routeSetOf(2, 0)))
+	assert.Equal(t, len(d.routes.current), 1)
+	events := d.PopEvents()
+	assert.Equal(t, events[len(events)-1].Kind, EventRoutesCorrected)
+}
+
+// Guards against digests that differ with the order of routes, or agree for different routes.
+func TestRoutesDigestIdentifiesContent(t *testing.T) {
+	digest := func(set RouteSet) Digest {
+		d := NewDispatcher(Options{})
+		d.SetRoutes(set)
+		return d.Gauges().RoutesDigest
+	}
+	base := digest(routeSetOf(2, 0, 1))
+	assert.Equal(t, digest(routeSetOf(2, 1, 0)), base)
+	assert.Assert(t, digest(routeSetOf(3, 0, 1)) != base)
+	assert.Assert(t, digest(routeSetOf(2, 0, 2)) != base)
+	changes := []func(*Route){
+		func(r *Route) { r.Name = "other" },
+		func(r *Route) { r.Timeout = time.Second },
+		func(r *Route) { r.LatencyTarget = time.Second },
+		func(r *Route) { r.Priority = 1 },
+		func(r *Route) { r.Backends = nil },
+		func(r *Route) { r.Backends[0].Service = "other" },
+		func(r *Route) { r.Backends[0].Weight = 2 },
+		func(r *Route) { r.Backends[0].MaxFlowsPerTarget = 2 },
+	}
+	for i, change := range changes {
+		set := routeSetOf(2, 0, 1)
+		change(set.Routes[0])
+		assert.Assert(t, digest(set) != base, "change %d", i)
+	}
+}
--- a/internal/coordination/dsr/digest.go
+++ b/internal/coordination/dsr/digest.go
@@ -20,19 +20,26 @@
 // MarshalText implements encoding.TextMarshaler.
 func (g Digest) MarshalText() ([]byte, error) { return []byte(g.String()), nil }
 
-// digest returns a hash of the version and the content of the current routes, by which
-// balancers compare their routes. It does not depend on the order of the routes and is
-// never 0.
-func (t *routeTable) digest() Digest {
+// digest returns a hash of the version and the content of a set of routes, by which balancers
+// compare their routes. It does not depend on the order of the routes and is never 0.
+func (s RouteSet) digest() Digest {
 	var sum uint64
-	for _, r := range t.current {
-		sum += r.digest()
+	for _, r := range s.byAddress() {
+		sum += r.contentHash()
 	}
-	return Digest(max(state.Mix(sum, state.Mix(t.version, uint64(t.idleTimeout))), 1))
+	return Digest(max(state.Mix(sum, state.Mix(s.Version, uint64(s.IdleTimeout))), 1))
 }
 
-// digest returns a hash of the settings of a route.
-func (r *Route) digest() uint64 {
+// contentHash returns a hash of the settings of a route. It is computed once, because most
+// routes stay the same from one version to the next.
+func (r *Route) contentHash() uint64 {
+	if r.cachedHash == 0 {
+		r.cachedHash = r.computeHash()
+	}
+	return r.cachedHash
+}
+
+func (r *Route) computeHash() uint64 {
 	b := appendString(nil, r.Name)
 	b = append(b, r.Address.IP[:]...)
 	b = binary.BigEndian.AppendUint16(b, r.Address.Port)
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -94,15 +94,28 @@
 	}
 }
 
-// SetRoutes applies a version of the configuration and reports whether it did. It
-// ignores a version that is not newer than the current one.
+// SetRoutes applies a version of the configuration that was read from the store and reports
+// whether it did. It ignores a version that is not newer than the current one, unless the
+// current routes are other ones of the same version that another balancer sent.
 func (d *Dispatcher) SetRoutes(set RouteSet) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	applied := d.routes.apply(set)
-	kind := EventRoutesAdopted
-	if !applied {
-		kind = EventRoutesIgnored
+	return d.setRoutes(set, true)
+}
+
+func (d *Dispatcher) setRoutes(set RouteSet, isFromStore bool) bool {
+	applied := d.routes.replaces(set, isFromStore)
+	kind := EventRoutesIgnored
+	switch {
+	case applied && set.Version == d.routes.version:
+		kind = EventRoutesCorrected
+	case applied:
+		kind = EventRoutesAdopted
+	}
+	if applied {
+		d.routes.apply(set, isFromStore)
+	} else if isFromStore && set.Version == d.routes.version {
+		d.routes.isFromStore = true // the store has confirmed the routes
 	}
 	d.addDataEvents(d.targets.asOf, Event{Kind: kind, Revision: set.Version, RoutesDigest: d.routes.contentDigest})
 	d.signalReady()
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -19,7 +19,13 @@
 	EventListingIgnored  EventKind = "listing-ignored"
 	EventRoutesAdopted   EventKind = "routes-adopted"
 	EventRoutesIgnored   EventKind = "routes-ignored"
-	EventFreeze          EventKind = "freeze"
+	// EventRoutesCorrected means that the store had other routes of the same version than
+	// another balancer had sent.
+	EventRoutesCorrected EventKind = "routes-corrected"
+	// EventRoutesMismatch means that a delta of another balancer did not yield its routes, or
+	// that it has other routes of the same version.
+	EventRoutesMismatch EventKind = "routes-mismatch"
+	EventFreeze         EventKind = "freeze"
 )
 
 // Event is a change of a balancer's view of the targets, the routes or the load, with
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -20,6 +20,8 @@
 	// Priority ranks the routes of a service; 0 is the most urgent.
 	Priority int
 
+	// cachedHash is the hash of the fields above, 0 until it is computed.
+	cachedHash uint64
 	// usage is shared by all versions of a route.
 	usage *routeUsage
 }
@@ -50,6 +52,15 @@
 	IdleTimeout time.Duration
 }
 
+// byAddress returns the routes by address. Of several routes to one address the last one counts.
+func (s RouteSet) byAddress() map[protocol.Endpoint]*Route {
+	routes := make(map[protocol.Endpoint]*Route, len(s.Routes))
+	for _, r := range s.Routes {
+		routes[r.Address] = r
+	}
+	return routes
+}
+
 // routeTable holds the current routes, and the services that earlier versions allowed.
 type routeTable struct {
 	version     uint64
@@ -64,9 +75,13 @@
 	// allowedServices holds, for each address, the services that any version routed it
 	// to. Open flows stay at their target when the route changes to another service.
 	allowedServices map[protocol.Endpoint]map[string]bool
-	// firstVersion is the first version that was applied here. changedVersions holds the
-	// version in which the route of an address last changed or was removed.
-	firstVersion    uint64
+	// isFromStore is set if the current routes were read from the store, not received from
+	// another balancer.
+	isFromStore bool
+	// recentVersions holds the latest versions that were applied here, in ascending order.
+	// changedVersions holds the version in which the route of an address last changed or was
+	// removed.
+	recentVersions  []uint64
 	changedVersions map[protocol.Endpoint]uint64
 }
 
@@ -78,19 +93,36 @@
 	}
 }
 
-// apply replaces the routes by those of a newer version and reports whether it did.
-func (t *routeTable) apply(set RouteSet) bool {
-	if set.Version <= t.version {
-		return false
+// maxRecentVersions limits the versions from which a balancer gives deltas. Followers of an older
+// one read the store.
+const maxRecentVersions = 256
+
+// hasApplied reports whether the routes were those of a version.
+func (t *routeTable) hasApplied(version uint64) bool {
+	_, found := slices.BinarySearch(t.recentVersions, version)
+	return found
+}
+
+// replaces reports whether a set of routes takes the place of the current one: a newer version
+// does, and the store's routes of a version replace different ones that another balancer sent.
+func (t *routeTable) replaces(set RouteSet, isFromStore bool) bool {
+	if set.Version != t.version {
+		return set.Version > t.version
 	}
+	return isFromStore && !t.isFromStore && set.Version > 0 && set.digest() != t.contentDigest
+}
+
+// apply replaces the current routes.
+func (t *routeTable) apply(set RouteSet, isFromStore bool) {
 	previous := t.current
-	t.version, t.idleTimeout = set.Version, set.IdleTimeout
-	if t.firstVersion == 0 {
-		t.firstVersion = set.Version
+	if set.Version != t.version {
+		t.recentVersions = append(t.recentVersions[max(len(t.recentVersions)-maxRecentVersions+1, 0):], set.Version)
 	}
-	t.current = make(map[protocol.Endpoint]*Route, len(set.Routes))
+	t.version, t.idleTimeout, t.isFromStore = set.Version, set.IdleTimeout, isFromStore
+	t.contentDigest = set.digest()
+	t.current = set.byAddress()
 	t.flowLimits = make(map[string]int)
-	for _, r := range set.Routes {
+	for _, r := range t.current {
 		r.usage = &routeUsage{}
 		if old := previous[r.Address]; old != nil {
 			r.usage = old.usage
@@ -98,7 +130,6 @@
 		if !r.equal(previous[r.Address]) {
 			t.changedVersions[r.Address] = set.Version
 		}
-		t.current[r.Address] = r
 		t.allowServices(r)
 		for _, b := range r.Backends {
 			t.flowLimits[b.Service] = b.MaxFlowsPerTarget
@@ -110,8 +141,6 @@
 			t.changedVersions[address] = set.Version
 		}
 	}
-	t.contentDigest = t.digest()
-	return true
 }
 
 // equal reports whether two routes have the same settings. other may be nil.
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -31,7 +31,7 @@
 }
 
 func encodeRoutesDelta(d dsr.RoutesDelta) *wire.FeedRoutesResponse {
-	response := &wire.FeedRoutesResponse{Version: d.Version, IdleTimeoutMs: d.IdleTimeout.Milliseconds()}
+	response := &wire.FeedRoutesResponse{Version: d.Version, Digest: uint64(d.Digest), IdleTimeoutMs: d.IdleTimeout.Milliseconds()}
 	for _, r := range d.Changed {
 		route := &wire.FeedRoute{
 			Name:      r.Name,
@@ -57,7 +57,7 @@
 }
 
 func decodeRoutesDelta(afterVersion uint64, response *wire.FeedRoutesResponse) (dsr.RoutesDelta, error) {
-	d := dsr.RoutesDelta{AfterVersion: afterVersion, Version: response.GetVersion(), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
+	d := dsr.RoutesDelta{AfterVersion: afterVersion, Version: response.GetVersion(), Digest: dsr.Digest(response.GetDigest()), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
 	for _, route := range response.GetChanged() {
 		address, err := decodeEndpoint(route.GetIp(), route.GetPort())
 		if err != nil {
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -250,7 +250,7 @@
 
 // Guards against fields of a route that are lost when a delta is encoded and decoded.
 func TestRoutesDeltaRoundTrip(t *testing.T) {
-	sent := dsr.RoutesDelta{AfterVersion: 1, Version: 2, IdleTimeout: 7 * time.Second, Changed: []*dsr.Route{{
+	sent := dsr.RoutesDelta{AfterVersion: 1, Version: 2, Digest: 1<<63 + 7, IdleTimeout: 7 * time.Second, Changed: []*dsr.Route{{
 		Name: "r", Address: protocol.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}, Timeout: time.Second,
 		LatencyTarget: 250 * time.Millisecond, Priority: 2,
 		Backends: []dsr.Backend{{Service: "web", Weight: 90, MaxFlowsPerTarget: 2000}, {Service: "old", Weight: 10}},
@@ -263,6 +263,19 @@
 	assert.Equal(t, received.Changed[0].Priority, sent.Changed[0].Priority)
 	assert.Equal(t, received.Removed[0], sent.Removed[0])
 	assert.Equal(t, received.IdleTimeout, sent.IdleTimeout)
+	assert.Equal(t, received.Digest, sent.Digest)
+}
+
+// Guards against a follower that merges a delta of its parent into routes that the parent never
+// had: it must have the platform's routes afterwards.
+func TestFollowerOfSkippedVersionReadsRoutes(t *testing.T) {
+	parent, follower, directory := startPair(t)
+	follower.setRoutes(2)
+	parent.setRoutes(1)
+	parent.repeatUntilStopped(t, func() { parent.applyPlatformState(3, 10, "i-1") })
+	waitFor(t, "the follower to stop reading the platform", follower.follows)
+	assert.Equal(t, follower.dispatcher.Gauges().RoutesDigest, parent.dispatcher.Gauges().RoutesDigest)
+	assert.Equal(t, directory.platformRouteReads.Load(), int64(1))
 }
 
 // startChain starts three nodes of a place of eight: the root of the tree, one of its
--- a/internal/transport/feed/fetch.go
+++ b/internal/transport/feed/fetch.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
 	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 )
@@ -33,7 +34,7 @@
 }
 
 // fetchRoutes applies the parent's routes delta. If the parent has none for the version
-// here, it reads the routes from the platform.
+// here, or the delta does not yield the parent's routes, it reads the routes from the platform.
 func (s *Service) fetchRoutes(ctx context.Context, client wire.Feed) error {
 	ownSummary, _ := s.options.Dispatcher.Summary()
 	response, err := client.Routes(ctx, &wire.FeedRoutesRequest{AfterVersion: ownSummary.RoutesVersion})
@@ -47,8 +48,11 @@
 	if err != nil {
 		return err
 	}
-	if !s.options.Dispatcher.ApplyRoutesDelta(delta) {
+	switch s.options.Dispatcher.ApplyRoutesDelta(delta) {
+	case dsr.DeltaOutdated:
 		return errors.New("the routes here changed during the fetch, so the delta does not apply")
+	case dsr.DeltaMismatch:
+		return s.options.ReadRoutes(ctx)
 	}
 	return nil
 }
