Compare data of balancers by content, and do not count data that differ as current

Every eighth answer to a probe now carries 32 bits each of a digest of the parent's routes and targets. A follower that has the same version and change but other data logs routes-mismatch or targets-mismatch, does not confirm the age of its data, fetches all targets, and reads the routes from the store unless its own are the store's; then the parent is the one that must read. Each further probe asks for the digests until they agree.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -25,10 +25,14 @@
 // Summary describes how recent a balancer's routes and targets are.
 type Summary struct {
 	RoutesVersion uint64
+	RoutesDigest  Digest
+	// RoutesAreFromStore is set if the store had these routes when this balancer read it.
+	RoutesAreFromStore bool
 	// Routes is the number of routes.
 	Routes         int
 	Epoch          uint64
 	ChangeSequence uint64
+	TargetsDigest  Digest
 	// Revision is the store revision of the data.
 	Revision uint64
 	// Listings counts the listings that this balancer read from the store and applied.
@@ -42,7 +46,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.targets
-	return Summary{RoutesVersion: d.routes.version, Routes: len(d.routes.current), Epoch: g.epoch, ChangeSequence: g.changeSequence, Revision: g.revision, Listings: g.listings, AsOf: g.asOf}, d.ready()
+	return Summary{
+		RoutesVersion:      d.routes.version,
+		RoutesDigest:       d.routes.contentDigest,
+		RoutesAreFromStore: d.routes.isFromStore,
+		Routes:             len(d.routes.current),
+		Epoch:              g.epoch,
+		ChangeSequence:     g.changeSequence,
+		TargetsDigest:      g.contentDigest,
+		Revision:           g.revision,
+		Listings:           g.listings,
+		AsOf:               g.asOf,
+	}, d.ready()
 }
 
 // Delta returns the changes after a sequence number of this process, or all targets if
@@ -133,6 +148,19 @@
 	d.targets.confirm(asOf)
 }
 
+// ReportMismatch records that another balancer has other routes of the same version, or other
+// targets after the same changes.
+func (d *Dispatcher) ReportMismatch(routes, targets bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if routes {
+		d.addDataEvents(d.targets.asOf, Event{Kind: EventRoutesMismatch, Revision: d.routes.version, RoutesDigest: d.routes.contentDigest})
+	}
+	if targets {
+		d.addDataEvents(d.targets.asOf, Event{Kind: EventTargetsMismatch, Revision: d.targets.revision})
+	}
+}
+
 // MaxRoutesDeltaEntries bounds the compressed size of a delta, so that a balancer with a
 // slow link can send it to all its followers without delaying packets.
 const MaxRoutesDeltaEntries = 1500
--- a/internal/coordination/dsr/digest.go
+++ b/internal/coordination/dsr/digest.go
@@ -54,6 +54,37 @@
 	return xxhash.Sum64(b)
 }
 
+// digest returns a hash of the targets that are not gone, by which balancers compare them.
+func (g *registry) digest() Digest {
+	var sum uint64
+	for _, t := range g.byID {
+		if t.goneAt.IsZero() {
+			sum += t.contentHash
+		}
+	}
+	return Digest(sum)
+}
+
+// contentHash returns a hash of the fields that followers replicate: all whose changes
+// differs reports.
+func (a Announcement) contentHash() uint64 {
+	b := appendString(nil, a.ID)
+	b = appendString(b, a.Service)
+	b = appendString(b, a.Place)
+	b = append(b, a.Endpoint.IP[:]...)
+	b = binary.BigEndian.AppendUint16(b, a.Endpoint.Port)
+	for _, n := range []uint64{a.Incarnation, uint64(a.Started), uint64(a.Slots), a.Created} {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	if a.Draining {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
+// Low returns the half of the digest that balancers exchange in datagrams.
+func (g Digest) Low() uint32 { return uint32(g) }
+
 // appendString appends a string with its length, so that successive strings cannot be
 // confused with others of the same concatenation.
 func appendString(b []byte, s string) []byte {
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -25,7 +25,9 @@
 	// EventRoutesMismatch means that a delta of another balancer did not yield its routes, or
 	// that it has other routes of the same version.
 	EventRoutesMismatch EventKind = "routes-mismatch"
-	EventFreeze         EventKind = "freeze"
+	// EventTargetsMismatch means that another balancer has other targets after the same changes.
+	EventTargetsMismatch EventKind = "targets-mismatch"
+	EventFreeze          EventKind = "freeze"
 )
 
 // Event is a change of a balancer's view of the targets, the routes or the load, with
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -62,6 +62,8 @@
 	Announcement
 	Token  Token
 	idHash uint64
+	// contentHash is the hash of the announcement.
+	contentHash uint64
 
 	// goneAt is when the target was marked as gone, zero while it serves. goneRevision is the
 	// revision of the data that lacked it.
@@ -113,6 +115,8 @@
 	hasListing bool
 	asOf       time.Time
 
+	// contentDigest is the digest of the targets that are not gone.
+	contentDigest Digest
 	// listings counts the listings that were applied.
 	listings uint64
 	// keepsMissing is set if the last listing lacked targets that are kept.
@@ -197,7 +201,7 @@
 		return nil
 	}
 	if t == nil {
-		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID)}
+		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID), contentHash: a.contentHash()}
 		t.warmupUntil = now.Add(a.WarmupRemaining)
 		g.byID[a.ID] = t
 		g.assignToken(t)
@@ -211,6 +215,7 @@
 	var events []Event
 	if g.differs(t, a) {
 		g.markChanged(t)
+		t.contentHash = a.contentHash()
 	}
 	if a.Started != t.Started {
 		t.health = health{}
@@ -331,9 +336,10 @@
 	}
 }
 
-// rebuildIndex rebuilds the lists of targets by service, sorted by ID so that all
+// rebuildIndex updates the digest and rebuilds the lists of targets by service, sorted by ID so that all
 // balancers use the same order.
 func (g *registry) rebuildIndex() {
+	g.contentDigest = g.digest()
 	clear(g.byService)
 	for _, t := range g.byID {
 		if t.goneAt.IsZero() && g.byToken[t.Token] == t {
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -109,8 +109,11 @@
 	parentChangeSequence uint64
 	ownListings          uint64
 	fetching             bool
-	readsPlatform        bool
-	loss                 feed.LossAggregate
+	// differs is set while the data here are known to differ from the parent's although their
+	// versions agree.
+	differs       bool
+	readsPlatform bool
+	loss          feed.LossAggregate
 }
 
 // New returns a service with open sockets. Run starts it.
@@ -238,7 +241,7 @@
 	s.probeSequence++
 	s.probeSentAt = now
 	probe := &wire.FeedProbe{Sequence: s.probeSequence}
-	if s.probeSequence%probesPerLossReport == 1 {
+	if s.probeSequence%probesPerLossReport == 1 || s.differs {
 		probe.SubtreeLoss = encodeLoss(s.loss.Subtree(now, s.ownLoss()))
 	}
 	s.send(probe, kindProbe, parent.Address)
@@ -305,7 +308,7 @@
 		s.send(&wire.FeedState{Sequence: probe.GetSequence(), AgeMs: math.MaxUint32}, kindState, to)
 		return
 	}
-	s.send(&wire.FeedState{
+	state := &wire.FeedState{
 		Sequence:      probe.GetSequence(),
 		PlaceLoss:     s.exchangeLoss(now, probe.GetSubtreeLoss(), to),
 		RoutesVersion: summary.RoutesVersion,
@@ -313,7 +316,11 @@
 		Change:        summary.ChangeSequence,
 		Revision:      summary.Revision,
 		AgeMs:         uint32(max(now.Sub(summary.AsOf), 0).Milliseconds()),
-	}, kindState, to)
+	}
+	if probe.GetSubtreeLoss() != nil {
+		state.RoutesDigest, state.TargetsDigest = summary.RoutesDigest.Low(), summary.TargetsDigest.Low()
+	}
+	s.send(state, kindState, to)
 }
 
 // handleState handles an answer of the parent to the latest probe, and starts to fetch
@@ -347,19 +354,49 @@
 		s.parentEpoch, s.ownListings = 0, ownSummary.Listings
 	}
 	newTargets := state.GetEpoch() != s.parentEpoch || state.GetChange() != s.parentChangeSequence
-	if !newRoutes && !newTargets {
+	routesDiffer, targetsDiffer := s.compareDigests(state, ownSummary, newTargets)
+	needed := fetchPlan{
+		routes:  newRoutes,
+		targets: newTargets || targetsDiffer,
+		// The store decides which routes are right, unless the ones here are the store's.
+		platformRoutes: routesDiffer && !ownSummary.RoutesAreFromStore,
+	}
+	if needed == (fetchPlan{}) {
 		if ownSummary.RoutesVersion == state.GetRoutesVersion() {
 			s.confirmAsOf(parent, asOf, state.GetRevision())
 		}
 		return // a parent with older routes lags behind, so its answer confirms nothing
 	}
 	s.fetching = true
-	go s.fetchFromParent(ctx, parent, asOf, state.GetRevision(), newRoutes, newTargets)
+	go s.fetchFromParent(ctx, parent, asOf, state.GetRevision(), needed)
+}
+
+// compareDigests compares the data here with the digests in an answer of the parent, if it has
+// any, and reports which of them differ although their versions agree. The caller holds mu.
+func (s *Service) compareDigests(state *wire.FeedState, own dsr.Summary, newTargets bool) (routesDiffer, targetsDiffer bool) {
+	if state.GetRoutesDigest() == 0 && state.GetTargetsDigest() == 0 {
+		return false, false
+	}
+	routesDiffer = state.GetRoutesVersion() == own.RoutesVersion && state.GetRoutesDigest() != own.RoutesDigest.Low()
+	targetsDiffer = !newTargets && state.GetTargetsDigest() != own.TargetsDigest.Low()
+	s.differs = routesDiffer || targetsDiffer
+	if targetsDiffer {
+		s.parentEpoch = 0 // all targets must be fetched
+	}
+	if s.differs {
+		s.options.Dispatcher.ReportMismatch(routesDiffer, targetsDiffer)
+	}
+	return routesDiffer, targetsDiffer
 }
 
 // confirmAsOf records that the data here match those of the parent, which matched the
-// platform's at asOf, at the given revision or a later one. The caller holds mu.
+// platform's at asOf, at the given revision or a later one. While the data differ, it records
+// only that the parent answers. The caller holds mu.
 func (s *Service) confirmAsOf(parent feed.Member, asOf time.Time, revision uint64) {
+	if s.differs {
+		s.follower.RecordAnswer(parent, time.Time{})
+		return
+	}
 	s.follower.RecordAnswer(parent, asOf)
 	s.options.Dispatcher.ConfirmAsOf(asOf, revision)
 }
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -278,6 +278,46 @@
 	assert.Equal(t, directory.platformRouteReads.Load(), int64(1))
 }
 
+// Guards against a follower whose routes differ from those of its version for good: it counted
+// as up to date as long as its parent had the same version.
+func TestFollowerWithOtherRoutesOfSameVersionIsCorrected(t *testing.T) {
+	parent, follower, _ := startPair(t)
+	wrong := dsr.NewDispatcher(dsr.Options{})
+	wrong.SetRoutes(dsr.RouteSet{Version: 3, Routes: []*dsr.Route{{Name: "dropped", Address: protocol.Endpoint{IP: [4]byte{198, 18, 0, 9}, Port: 443}}}})
+	delta, ok := wrong.RoutesDelta(0)
+	assert.Assert(t, ok)
+	assert.Equal(t, follower.dispatcher.ApplyRoutesDelta(delta), dsr.DeltaApplied)
+	parent.repeatUntilStopped(t, func() { parent.applyPlatformState(3, 10, "i-1") })
+	waitFor(t, "the follower to have the routes of its parent", func() bool {
+		return follower.follows() && follower.dispatcher.Gauges().RoutesDigest == parent.dispatcher.Gauges().RoutesDigest
+	})
+}
+
+// Guards against a follower whose targets differ from its parent's for good, because neither
+// sees a change.
+func TestFollowerWithOtherTargetsIsCorrected(t *testing.T) {
+	parent, follower, _ := startPair(t)
+	parent.repeatUntilStopped(t, func() { parent.applyPlatformState(3, 10, "i-1") })
+	waitFor(t, "the follower to stop reading the platform", follower.follows)
+	extra := dsr.Announcement{ID: "i-9", Incarnation: 9, Service: "web", Slots: 2, Revision: 2, Place: "a"}
+	follower.dispatcher.ApplyDelta(follower.clock.now(), dsr.Delta{Revision: 10, Targets: []dsr.Announcement{extra}})
+	assert.Equal(t, follower.dispatcher.Gauges().Targets, 2)
+	waitFor(t, "the follower to have the targets of its parent", func() bool { return follower.dispatcher.Gauges().Targets == 1 })
+	waitFor(t, "the follower to stop reading the platform", follower.follows)
+}
+
+// Guards against data that count as current although they are known to differ from the parent's:
+// the follower must read the platform.
+func TestFollowerWithLastingMismatchReadsPlatform(t *testing.T) {
+	parent, follower, _ := startPair(t)
+	parent.repeatUntilStopped(t, func() { parent.applyPlatformState(3, 10, "i-1", "i-2") })
+	waitFor(t, "the follower to stop reading the platform", follower.follows)
+	follower.dispatcher.ApplyDelta(follower.clock.now(), dsr.Delta{Revision: 10, Gone: []string{"i-1"}})
+	waitFor(t, "the follower to read the platform", follower.service.MustReadPlatform)
+	follower.applyPlatformState(3, 11, "i-1", "i-2")
+	assert.Equal(t, follower.dispatcher.Gauges().Targets, 2)
+}
+
 // startChain starts three nodes of a place of eight: the root of the tree, one of its
 // followers, and a follower of that one. The other members do not answer.
 func startChain(t *testing.T) (root, middle, leaf *node) {
--- a/internal/transport/feed/fetch.go
+++ b/internal/transport/feed/fetch.go
@@ -12,15 +12,22 @@
 	"github.com/kumquatworks/kumquatworks/internal/protocol/wire"
 )
 
-// fetchFromParent fetches and applies the routes and targets that are newer at the parent,
-// whose data matched the platform's at asOf, at the given revision.
-func (s *Service) fetchFromParent(ctx context.Context, parent feed.Member, asOf time.Time, revision uint64, needRoutes, needTargets bool) {
+// fetchPlan states which data a balancer fetches: routes and targets from the parent, and
+// routes from the platform.
+type fetchPlan struct{ routes, targets, platformRoutes bool }
+
+// fetchFromParent fetches and applies the data of the plan. Those of the parent matched the
+// platform's at asOf, at the given revision.
+func (s *Service) fetchFromParent(ctx context.Context, parent feed.Member, asOf time.Time, revision uint64, plan fetchPlan) {
 	client := wire.NewFeedProtobufClient("http://"+parent.Address.String(), s.client)
 	var err error
-	if needRoutes {
+	if plan.routes {
 		err = s.fetchRoutes(ctx, client)
 	}
-	if needTargets && err == nil {
+	if plan.platformRoutes && err == nil {
+		err = s.options.ReadRoutes(ctx)
+	}
+	if plan.targets && err == nil {
 		err = s.fetchTargets(ctx, client)
 	}
 	s.mu.Lock()
--- a/internal/transport/feed/slope_test.go
+++ b/internal/transport/feed/slope_test.go
@@ -30,7 +30,8 @@
 	probeBytes := ipUDPHeaderBytes + 1 + proto.Size(&wire.FeedProbe{Sequence: 1 << 20})
 	stateBytes := ipUDPHeaderBytes + 1 + proto.Size(&wire.FeedState{Sequence: 1 << 20, RoutesVersion: 1 << 30, Epoch: 1 << 32, Change: 1 << 20, Revision: 1 << 30, AgeMs: 2000})
 	lossBytes := 2 + proto.Size(&wire.FeedLoss{Packets: 1 << 20, LostTenths: 1 << 13})
-	probeAndStateBytes := float64(probeBytes+stateBytes) + 2*float64(lossBytes)/probesPerLossReport
+	digestBytes := proto.Size(&wire.FeedState{RoutesDigest: 1, TargetsDigest: 1})
+	probeAndStateBytes := float64(probeBytes+stateBytes) + float64(2*lossBytes+digestBytes)/probesPerLossReport
 	members := make([]feed.Member, n)
 	for i := range members {
 		members[i] = feed.Member{VM: fmt.Sprintf("vm-%d", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)}
