--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -42,6 +42,8 @@
 }
 
 const (
+	// MaxSlots is the largest number of slots of a target.
+	MaxSlots = 1 << 16
 	// absenceGracePeriod is how long after the store has recovered a missing target may
 	// still reappear. The platform states about two seconds, and a listing may lag behind.
 	absenceGracePeriod = 2500 * time.Millisecond
