Send the copy of an opener elsewhere when its target has not answered lately

Cause: a target is suspected only once a packet that was forwarded later has been answered. The target with the most slots is the least loaded one, so it got all openers and their copies, and nothing was answered that could show it. A real target with more slots than the others that falls silent did the same to a balancer with little traffic.

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -274,7 +274,7 @@
 	d.recordUnansweredOpener(now, f)
 	failures := f.target.health.failureSummary(now)
 	accepts := f.target.acceptsNewFlows() && route.hasBackend(f.target.Service)
-	if accepts && !f.target.health.suspected() && !f.target.recentlyFull(now) {
+	if accepts && !f.target.health.suspected() && !f.target.recentlyFull(now) && f.target.health.succeededRecently(now) {
 		return Decision{Action: ActionForward, Reason: ReasonRepeatedOpener, target: f.target, Route: route, Failures: failures}
 	}
 	f.tried = append(f.tried, f.target)
@@ -336,6 +336,9 @@
 	if completesHandshake {
 		d.recordHandshake(now, t, f.openedAt)
 	}
+	if len(f.tried) > 0 {
+		d.recordSilentTargets(now, f)
+	}
 	if p.Bytes > 0 && !retransmitted && !hadRequest {
 		d.loss.recordSent()
 	}
--- a/internal/coordination/dsr/evidence.go
+++ b/internal/coordination/dsr/evidence.go
@@ -39,9 +39,14 @@
 		return
 	}
 	t.health.recordRetransmission(now)
-	if !d.answerOverdue(sentAt) {
-		return
+	if d.answerOverdue(sentAt) {
+		d.recordFailure(now, t)
 	}
+}
+
+// recordFailure records that a target has not answered a packet although another target has
+// answered one that was sent later.
+func (d *Dispatcher) recordFailure(now time.Time, t *Target) {
 	threshold := d.loss.failureThreshold()
 	if t.health.failures+1 >= threshold {
 		threshold += d.extraFailuresRequired(now, t)
@@ -51,6 +56,23 @@
 	}
 }
 
+// recordSilentTargets records failures of the targets that left an opener unanswered, once another
+// target has answered its retransmission. A service with few flows has no other packet that shows
+// that they are silent.
+func (d *Dispatcher) recordSilentTargets(now time.Time, f *flow) {
+	for _, t := range f.tried {
+		if t == f.target || !t.health.lastSuccessAt.Before(f.openedAt) || f.openedAt.Before(d.resumedAt) {
+			continue
+		}
+		if d.mayBeFull(t) {
+			d.recordFull(now, t)
+		} else {
+			d.recordFailure(now, t)
+		}
+	}
+	f.tried = nil
+}
+
 // recordRetransmission records a packet that repeats one sent at the given time. It
 // reports whether the packet counts as a retransmission. A packet doesn't count if it
 // follows the original, or the last one that counted, within minRetransmissionAge.
--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -138,6 +138,11 @@
 	return h.dead && now.Sub(h.lastFailureAt) <= failureHoldTime
 }
 
+// succeededRecently reports whether the target proved to be alive within failureWindow.
+func (h *health) succeededRecently(now time.Time) bool {
+	return now.Sub(h.lastSuccessAt) <= failureWindow
+}
+
 // failureSummary returns a summary of the failures since the last success.
 func (h *health) failureSummary(now time.Time) FailureSummary {
 	s := FailureSummary{Unanswered: h.failures}
--- a/internal/coordination/dsr/room.go
+++ b/internal/coordination/dsr/room.go
@@ -47,9 +47,13 @@
 		d.recordUnanswered(now, f, t, f.openedAt)
 		return
 	}
-	if !f.recordRetransmission(now, f.openedAt) || !d.answerOverdue(f.openedAt) {
-		return
+	if f.recordRetransmission(now, f.openedAt) && d.answerOverdue(f.openedAt) {
+		d.recordFull(now, t)
 	}
+}
+
+// recordFull records that a target left an opener unanswered, probably because it is full.
+func (d *Dispatcher) recordFull(now time.Time, t *Target) {
 	if !t.recentlyFull(now) {
 		d.events = append(d.events, Event{Kind: EventTargetFull, target: t, Failures: t.health.failureSummary(now)})
 	}
