Bound what one entry of another writer can draw to itself

Three ways in which a well-formed entry that describes no target harmed the sound targets of a service: - An absurd number of slots drew nearly all flows to one target, if that answered, and lifted the limit of the service under overload. Slots now count for at most ten times those of the median target of the service. - A second entry with the address and incarnation of a target was used beside it, also while that drained, or for another service. Of entries that name one process only the one that was created first is used. - Of 203 entries, 200 at silent addresses: trial flows and copies of openers went from one silent target to the next. Copies now prefer targets that have answered before, and targets that never answered share one trial flow a second of their service.

TestSlotsAreBoundedByThoseOfOtherTargets (300 of 300 flows at the odd target), TestSecondEntryOfOneTargetIsNotUsed (4 targets instead of 3) and TestTrialsOfTargetsThatNeverAnsweredAreLimited (100 of 100 openers) failed before.

--- a/internal/coordination/dsr/admission.go
+++ b/internal/coordination/dsr/admission.go
@@ -172,7 +172,7 @@
 	for _, t := range d.targets.byService[service] {
 		inFlight += t.inFlight
 		if t.acceptsNewFlows() && !t.health.suspected() {
-			slots += float64(t.Slots)
+			slots += float64(t.effectiveSlots)
 		}
 	}
 	return inFlight, slots / float64(d.balancerCount())
--- a/internal/coordination/dsr/choose.go
+++ b/internal/coordination/dsr/choose.go
@@ -13,6 +13,8 @@
 	// Traffic between places is charged, and balancers see a larger part of the load of
 	// targets in their own place than of targets elsewhere.
 	remoteLoadPenalty = 0.5
+	// unprovenLoadPenalty exceeds the load of any target that still answers.
+	unprovenLoadPenalty = 1e6
 	// warmupSlotRatio is the fraction of its slots that a target counts with during
 	// warm-up. Requests take about 1.6 times as long then.
 	warmupSlotRatio = 0.6
@@ -31,21 +33,26 @@
 
 // chooseFromService returns the least loaded target of a service that accepts another
 // flow, as far as this balancer knows. It skips suspected targets if there is any other
-// target to choose, but sends them a trial flow from time to time.
+// target to choose, but sends them a trial flow from time to time. For the copy of an opener,
+// when excluded is not empty, it prefers targets that have answered before.
 func (d *Dispatcher) chooseFromService(now time.Time, service string, flowHash uint64, excluded []*Target) *Target {
 	var best, bestSuspected *Target
 	lowestLoad, lowestSuspectedLoad := math.Inf(1), math.Inf(1)
+	preferProven := len(excluded) > 0
 	limit := d.routes.flowLimits[service]
 	for _, t := range d.targets.byService[service] {
 		if !t.acceptsNewFlows() || !t.hasFlowCapacity(now, limit) || slices.Contains(excluded, t) {
 			continue
 		}
 		load := d.expectedLoad(now, t, flowHash)
+		if preferProven && t.health.lastSuccessAt.IsZero() {
+			load += unprovenLoadPenalty
+		}
 		if !t.health.suspected() && load < lowestLoad {
 			best, lowestLoad = t, load
 		}
 		if t.health.suspected() {
-			if len(excluded) == 0 && t.health.trialDue(now) {
+			if len(excluded) == 0 && t.health.trialDue(now) && d.targets.allowTrial(now, t) {
 				t.health.lastTrialAt = now
 				return t
 			}
@@ -65,7 +72,7 @@
 // balancers compute alike.
 func (d *Dispatcher) expectedLoad(now time.Time, t *Target, flowHash uint64) float64 {
 	const tieBreakWeight = 1e-6
-	slots := float64(max(t.Slots, 1))
+	slots := float64(t.effectiveSlots)
 	if now.Before(t.warmupUntil) {
 		slots *= warmupSlotRatio
 	}
--- a/internal/coordination/dsr/health.go
+++ b/internal/coordination/dsr/health.go
@@ -121,6 +121,20 @@
 	return now.Sub(h.lastFailureAt) >= trialBackoff
 }
 
+// allowTrial reports whether a target may get a trial flow. Those that never answered share one
+// for each interval of their service: entries of other writers may name any number of them, and
+// each trial delays a caller.
+func (g *registry) allowTrial(now time.Time, t *Target) bool {
+	if !t.health.lastSuccessAt.IsZero() {
+		return true
+	}
+	if now.Sub(g.lastFirstTrials[t.Service]) < trialInterval {
+		return false
+	}
+	g.lastFirstTrials[t.Service] = now
+	return true
+}
+
 // failedRecently reports whether the last failure is within failureWindow.
 func (h *health) failedRecently(now time.Time) bool {
 	return h.failures > 0 && now.Sub(h.lastFailureAt) <= failureWindow
--- a/internal/coordination/dsr/odd_test.go
+++ b/internal/coordination/dsr/odd_test.go
@@ -61,3 +61,59 @@
 	b.advance(10 * time.Second)
 	assert.Equal(t, b.serveSequentially(50, isSilent), 50)
 }
+
+// Guards against an entry with an absurd number of slots that takes nearly all flows although its
+// target answers, and lifts the limit of the service.
+func TestSlotsAreBoundedByThoseOfOtherTargets(t *testing.T) {
+	b := newTestBalancer(t, 4)
+	b.targets[3].Slots = MaxSlots
+	b.publishListing()
+	perTarget := make(map[string]int)
+	for range 300 {
+		perTarget[b.newFlow(0).open().target.ID]++
+	}
+	odd := perTarget[b.targets[3].ID]
+	assert.Assert(t, odd <= 300*maxSlotsRatio/(maxSlotsRatio+3)+10, "%v", perTarget)
+	_, slots := b.d.inFlightAndSlots("web")
+	assert.Equal(t, slots, float64(3*2+maxSlotsRatio*2))
+}
+
+// Guards against a target that gets new flows through a second entry while it drains.
+func TestSecondEntryOfOneTargetIsNotUsed(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	second := b.targets[0]
+	second.ID, second.Created, second.Revision = "inventory-00000001", b.revision, b.revision
+	b.targets = append(b.targets, second)
+	b.publishListing()
+	assert.Equal(t, b.d.Gauges().Targets, 3)
+	b.targets[0].Draining, b.targets[0].Revision = true, b.revision
+	b.publishListing()
+	for range 50 {
+		assert.Assert(t, b.newFlow(0).open().target.Endpoint != b.targets[0].Endpoint)
+	}
+	b.targets = b.targets[1:] // the first entry is gone
+	b.publishListing()
+	assert.Equal(t, b.d.Gauges().Targets, 3, "the remaining entry is used")
+}
+
+// Guards against many silent entries whose trial flows delay most requests of a service.
+func TestTrialsOfTargetsThatNeverAnsweredAreLimited(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	isSilent := b.addSilentTargets(200, 2)
+	b.serveSequentially(300, isSilent)
+	b.advance(trialBackoff)
+	delayed := 0
+	for range 100 {
+		c := b.newFlow(0)
+		if isSilent(c.sendOpener().target) {
+			delayed++
+			b.advance(200 * time.Millisecond)
+			c.sendOpener()
+		}
+		c.ackOpener()
+		c.exchange()
+		c.sendFin()
+		b.advance(50 * time.Millisecond)
+	}
+	assert.Assert(t, delayed <= 10, "%d of 100 openers went to silent targets", delayed)
+}
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -44,6 +45,9 @@
 const (
 	// MaxSlots is the largest number of slots of a target.
 	MaxSlots = 1 << 16
+	// maxSlotsRatio limits the slots of a target to a multiple of the median of its service, so
+	// that a wrong number in one entry does not draw nearly all flows to its target.
+	maxSlotsRatio = 10
 	// absenceGracePeriod is how long after the store has recovered a missing target may
 	// still reappear. The platform states about two seconds, and a listing may lag behind.
 	absenceGracePeriod = 2500 * time.Millisecond
@@ -66,6 +70,12 @@
 	idHash uint64
 	// contentHash is the hash of the announcement.
 	contentHash uint64
+	// effectiveSlots is the number of slots with which the target counts, at most maxSlotsRatio
+	// times those of the median target of its service.
+	effectiveSlots int
+	// firstCreated is the lowest revision at which the entry was known to be created. It may be
+	// created again after an outage of the store.
+	firstCreated uint64
 
 	// goneAt is when the target was marked as gone, zero while it serves. goneRevision is the
 	// revision of the data that lacked it.
@@ -130,6 +140,8 @@
 	changeSequence  uint64
 	evictedSequence uint64
 
+	// lastFirstTrials holds, by service, when a target that never answered last got a trial flow.
+	lastFirstTrials map[string]time.Time
 	// keepMissingUntil is the time until which missing targets are kept after the
 	// store has recovered.
 	keepMissingUntil time.Time
@@ -140,12 +152,13 @@
 
 func newRegistry(maxFlowLifetime time.Duration) *registry {
 	return &registry{
-		byID:           make(map[string]*Target),
-		byToken:        make(map[Token]*Target),
-		byService:      make(map[string][]*Target),
-		epoch:          1 + uint64(rand.Uint32()),
-		tokenRetention: maxFlowLifetime + tokenRetentionMargin,
-		deriveToken:    tokenForID,
+		byID:            make(map[string]*Target),
+		byToken:         make(map[Token]*Target),
+		byService:       make(map[string][]*Target),
+		lastFirstTrials: make(map[string]time.Time),
+		epoch:           1 + uint64(rand.Uint32()),
+		tokenRetention:  maxFlowLifetime + tokenRetentionMargin,
+		deriveToken:     tokenForID,
 	}
 }
 
@@ -203,7 +216,7 @@
 		return nil
 	}
 	if t == nil {
-		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID), contentHash: a.contentHash()}
+		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID), contentHash: a.contentHash(), firstCreated: a.Created}
 		t.warmupUntil = now.Add(a.WarmupRemaining)
 		g.byID[a.ID] = t
 		g.assignToken(t)
@@ -238,6 +251,7 @@
 		t.warmupUntil = now.Add(a.WarmupRemaining)
 	}
 	t.missingSince = time.Time{}
+	t.firstCreated = min(t.firstCreated, a.Created)
 	t.Announcement = a
 	return events
 }
@@ -338,17 +352,58 @@
 	}
 }
 
-// rebuildIndex updates the digest and rebuilds the lists of targets by service, sorted by ID so that all
-// balancers use the same order.
+// rebuildIndex updates the digest and rebuilds the lists of targets by service, sorted by ID so
+// that all balancers use the same order.
 func (g *registry) rebuildIndex() {
 	g.contentDigest = g.digest()
 	clear(g.byService)
-	for _, t := range g.byID {
-		if t.goneAt.IsZero() && g.byToken[t.Token] == t {
+	for _, t := range g.firstEntries() {
+		if g.byToken[t.Token] == t {
 			g.byService[t.Service] = append(g.byService[t.Service], t)
 		}
 	}
 	for _, targets := range g.byService {
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+		boundSlots(targets)
+	}
+}
+
+// targetIdentity identifies the process that receives the packets of a target.
+type targetIdentity struct {
+	endpoint    protocol.Endpoint
+	incarnation uint64
+}
+
+// firstEntries returns the targets that are not gone. Of several entries that name one process,
+// it returns the one that was created first: a later one may be of another writer, who does not
+// know the state of the target or names another service.
+func (g *registry) firstEntries() map[targetIdentity]*Target {
+	first := make(map[targetIdentity]*Target, len(g.byID))
+	for _, t := range g.byID {
+		if !t.goneAt.IsZero() {
+			continue
+		}
+		identity := targetIdentity{t.Endpoint, t.Incarnation}
+		if other := first[identity]; other == nil || t.createdBefore(other) {
+			first[identity] = t
+		}
+	}
+	return first
+}
+
+func (t *Target) createdBefore(other *Target) bool {
+	return cmp.Or(cmp.Compare(t.firstCreated, other.firstCreated), strings.Compare(t.ID, other.ID)) < 0
+}
+
+// boundSlots sets the effective slots of the targets of one service.
+func boundSlots(targets []*Target) {
+	slots := make([]int, len(targets))
+	for i, t := range targets {
+		slots[i] = t.Slots
+	}
+	slices.Sort(slots)
+	median := max(slots[(len(slots)-1)/2], 1)
+	for _, t := range targets {
+		t.effectiveSlots = min(max(t.Slots, 1), maxSlotsRatio*median)
 	}
 }
