Replace a revision or version of another balancer that the store never had

A number at its limit in the answer of another balancer stayed for good: a balancer ignored all listings and configurations of the store as older, and went on counting as up to date. A read of the store that began more than 10 s after such a number came, and shows a lower one, now replaces the data. Numbers that came from the store itself are never replaced by lower ones.

TestFalseRevisionOfPeerEnds and TestFalseVersionOfPeerEnds; before, the code had no way back (by reading; the tests use the time of a read, which is new).

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -94,7 +94,8 @@
 	if g.hasListing && delta.Revision < g.revision {
 		return false, []Event{{Kind: EventListingIgnored, Revision: delta.Revision}}
 	}
-	g.hasListing, g.revision = true, delta.Revision
+	g.hasListing = true
+	g.raiseRevision(now, delta.Revision)
 	present, events := g.upsertAll(now, slices.DeleteFunc(delta.Targets, g.isObsolete))
 	goneIDs := delta.Gone
 	if delta.Full {
@@ -141,10 +142,10 @@
 
 // ConfirmAsOf records that the data matched another balancer's, which matched the store at
 // the given time, when the store was at least at the given revision.
-func (d *Dispatcher) ConfirmAsOf(asOf time.Time, revision uint64) {
+func (d *Dispatcher) ConfirmAsOf(now, asOf time.Time, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.targets.revision = max(d.targets.revision, revision)
+	d.targets.raiseRevision(now, revision)
 	d.targets.confirm(asOf)
 }
 
@@ -223,7 +224,7 @@
 
 // ApplyRoutesDelta applies a newer version of the routes, given as its changes to the
 // current version.
-func (d *Dispatcher) ApplyRoutesDelta(delta RoutesDelta) DeltaResult {
+func (d *Dispatcher) ApplyRoutesDelta(now time.Time, delta RoutesDelta) DeltaResult {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if delta.AfterVersion != d.routes.version || delta.Version <= d.routes.version {
@@ -235,6 +236,7 @@
 		return DeltaMismatch
 	}
 	d.setRoutes(set, false)
+	d.routes.receivedAt = now
 	return DeltaApplied
 }
 
--- a/internal/coordination/dsr/delta_test.go
+++ b/internal/coordination/dsr/delta_test.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -108,8 +109,8 @@
 	b := newTestBalancer(t, 3)
 	listedAt := b.now
 	b.advance(3 * time.Second)
-	b.d.ConfirmAsOf(listedAt.Add(time.Second), 0)
-	b.d.ConfirmAsOf(listedAt, 0)
+	b.d.ConfirmAsOf(b.now, listedAt.Add(time.Second), 0)
+	b.d.ConfirmAsOf(b.now, listedAt, 0)
 	s, ok := b.d.Summary()
 	assert.Assert(t, ok)
 	assert.Equal(t, s.AsOf, listedAt.Add(time.Second))
@@ -145,7 +146,7 @@
 			if rapid.Bool().Draw(r, "follow") {
 				delta, ok := parent.RoutesDelta(follower.routes.version)
 				assert.Assert(t, ok)
-				assert.Equal(t, follower.ApplyRoutesDelta(delta), DeltaApplied)
+				assert.Equal(t, follower.ApplyRoutesDelta(startTime, delta), DeltaApplied)
 				assert.Equal(t, follower.routes.version, version)
 				assert.Equal(t, follower.routes.idleTimeout, parent.routes.idleTimeout)
 				assert.Equal(t, len(follower.routes.current), len(parent.routes.current))
@@ -182,7 +183,7 @@
 	parent.SetRoutes(routeSetForVersion(3, 200))
 	delta, ok := parent.RoutesDelta(0)
 	assert.Assert(t, ok)
-	assert.Equal(t, follower.ApplyRoutesDelta(delta), DeltaApplied)
+	assert.Equal(t, follower.ApplyRoutesDelta(startTime, delta), DeltaApplied)
 	assert.Equal(t, follower.routes.version, uint64(3))
 	assert.Equal(t, len(follower.routes.current), len(parent.routes.current))
 }
@@ -215,7 +216,7 @@
 	follower.SetRoutes(routeSetOf(2, 0, 2)) // not the parent's version 2
 	delta, ok := parent.RoutesDelta(2)
 	assert.Assert(t, ok)
-	assert.Equal(t, follower.ApplyRoutesDelta(delta), DeltaMismatch)
+	assert.Equal(t, follower.ApplyRoutesDelta(startTime, delta), DeltaMismatch)
 	assert.Equal(t, follower.Gauges().RoutesVersion, uint64(2))
 	assert.Equal(t, follower.PopEvents()[1].Kind, EventRoutesMismatch)
 }
@@ -228,7 +229,7 @@
 	wrong.SetRoutes(routeSetOf(2, 0, 1))
 	delta, ok := wrong.RoutesDelta(0)
 	assert.Assert(t, ok)
-	assert.Equal(t, d.ApplyRoutesDelta(delta), DeltaApplied)
+	assert.Equal(t, d.ApplyRoutesDelta(startTime, delta), DeltaApplied)
 	assert.Assert(t, d.SetRoutes(routeSetOf(2, 0)))
 	assert.Equal(t, len(d.routes.current), 1)
 	events := d.PopEvents()
@@ -262,3 +263,41 @@
 		assert.Assert(t, digest(set) != base, "change %d", i)
 	}
 }
+
+// Guards against a revision that the store never had and that another balancer sent: all later
+// listings of the store would be ignored.
+func TestFalseRevisionOfPeerEnds(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	bogus := b.targets[0]
+	bogus.Slots, bogus.Revision = 9, math.MaxUint64
+	b.d.ApplyDelta(b.now, Delta{Revision: math.MaxUint64, Targets: []Announcement{bogus}})
+	list := func() {
+		b.revision++
+		b.d.ApplyListing(b.now, Listing{Targets: b.targets, Revision: b.revision, ReadAt: b.now})
+	}
+	list()
+	assert.Equal(t, b.d.Gauges().Revision, uint64(math.MaxUint64), "the listing may be older than the revision")
+	b.advance(falseNumberTimeout + time.Second)
+	list()
+	assert.Equal(t, b.d.Gauges().Revision, b.revision)
+	assert.DeepEqual(t, b.targetStates(), newTestBalancer(t, 3).targetStates())
+}
+
+// Guards against a version of the routes that the store never had and that another balancer sent.
+func TestFalseVersionOfPeerEnds(t *testing.T) {
+	d, wrong := NewDispatcher(Options{}), NewDispatcher(Options{})
+	d.SetRoutes(routeSetOf(2, 0))
+	wrong.SetRoutes(routeSetOf(2, 0))
+	wrong.SetRoutes(routeSetOf(math.MaxUint64, 0, 1))
+	delta, ok := wrong.RoutesDelta(2)
+	assert.Assert(t, ok)
+	assert.Equal(t, d.ApplyRoutesDelta(startTime, delta), DeltaApplied)
+	read := routeSetOf(3, 0)
+	read.ReadAt = startTime.Add(time.Second)
+	assert.Assert(t, !d.SetRoutes(read), "the read may be older than the version")
+	read.ReadAt = startTime.Add(falseNumberTimeout + time.Second)
+	assert.Assert(t, d.SetRoutes(read))
+	assert.Equal(t, d.Gauges().RoutesVersion, uint64(3))
+	_, ok = d.RoutesDelta(math.MaxUint64)
+	assert.Assert(t, !ok)
+}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -107,6 +107,8 @@
 	applied := d.routes.replaces(set, isFromStore)
 	kind := EventRoutesIgnored
 	switch {
+	case applied && set.Version < d.routes.version:
+		kind = EventRevisionReset
 	case applied && set.Version == d.routes.version:
 		kind = EventRoutesCorrected
 	case applied:
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -28,6 +28,9 @@
 	// EventTargetsMismatch means that another balancer has other targets after the same changes.
 	EventTargetsMismatch EventKind = "targets-mismatch"
 	EventFreeze          EventKind = "freeze"
+	// EventRevisionReset means that another balancer had sent a revision, or a version of the
+	// routes, that the store never had.
+	EventRevisionReset EventKind = "revision-reset"
 )
 
 // Event is a change of a balancer's view of the targets, the routes or the load, with
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -50,6 +50,8 @@
 	Routes  []*Route
 	// IdleTimeout is how long a flow is kept after its last packet.
 	IdleTimeout time.Duration
+	// ReadAt is when the read of the routes was begun, zero if it was a watch.
+	ReadAt time.Time
 }
 
 // byAddress returns the routes by address. Of several routes to one address the last one counts.
@@ -78,6 +80,8 @@
 	// isFromStore is set if the current routes were read from the store, not received from
 	// another balancer.
 	isFromStore bool
+	// receivedAt is when another balancer sent the current routes.
+	receivedAt time.Time
 	// recentVersions holds the latest versions that were applied here, in ascending order.
 	// changedVersions holds the version in which the route of an address last changed or was
 	// removed.
@@ -106,8 +110,11 @@
 // replaces reports whether a set of routes takes the place of the current one: a newer version
 // does, and the store's routes of a version replace different ones that another balancer sent.
 func (t *routeTable) replaces(set RouteSet, isFromStore bool) bool {
-	if set.Version != t.version {
-		return set.Version > t.version
+	if set.Version < t.version {
+		return isFromStore && !t.isFromStore && isFalse(t.receivedAt, set.ReadAt)
+	}
+	if set.Version > t.version {
+		return true
 	}
 	return isFromStore && !t.isFromStore && set.Version > 0 && set.digest() != t.contentDigest
 }
@@ -115,6 +122,9 @@
 // apply replaces the current routes.
 func (t *routeTable) apply(set RouteSet, isFromStore bool) {
 	previous := t.current
+	if set.Version < t.version {
+		t.recentVersions, t.changedVersions = nil, make(map[protocol.Endpoint]uint64)
+	}
 	if set.Version != t.version {
 		t.recentVersions = append(t.recentVersions[max(len(t.recentVersions)-maxRecentVersions+1, 0):], set.Version)
 	}
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -40,6 +40,8 @@
 	Targets []Announcement
 	// Revision is the lowest store revision that the list may reflect.
 	Revision uint64
+	// ReadAt is when the read of the list was begun.
+	ReadAt time.Time
 }
 
 const (
@@ -126,6 +128,8 @@
 	revision   uint64
 	hasListing bool
 	asOf       time.Time
+	// revisionRaisedAt is when another balancer last raised revision, zero if the store did.
+	revisionRaisedAt time.Time
 
 	// contentDigest is the digest of the targets that are not gone.
 	contentDigest Digest
@@ -178,13 +182,19 @@
 // listing that is older than the current data. If it keeps targets that the listing lacks,
 // the data do not match the store, and keptUntil is when they may be marked as gone.
 func (g *registry) applyListing(now time.Time, l Listing) (events []Event, keptUntil time.Time) {
-	if g.hasListing && l.Revision < g.revision {
+	isReset := isFalse(g.revisionRaisedAt, l.ReadAt)
+	if g.hasListing && l.Revision < g.revision && !isReset {
 		g.keepsMissing = false // the data here have come from another balancer since
 		return []Event{{Kind: EventListingIgnored, Revision: l.Revision}}, time.Time{}
 	}
-	g.hasListing, g.revision = true, l.Revision
+	if l.Revision < g.revision {
+		events = append(events, Event{Kind: EventRevisionReset, Revision: l.Revision})
+		g.resetRevisions()
+	}
+	g.hasListing, g.revision, g.revisionRaisedAt = true, l.Revision, time.Time{}
 	g.listings++
-	present, events := g.upsertAll(now, l.Targets)
+	present, upserted := g.upsertAll(now, l.Targets)
+	events = append(events, upserted...)
 	gone, keptUntil := g.markMissingGone(now, present)
 	g.keepsMissing = !keptUntil.IsZero()
 	g.evictExpired(now)
@@ -192,6 +202,31 @@
 	return append(events, gone...), keptUntil
 }
 
+// falseNumberTimeout is how long after another balancer has sent a revision or a version a read of
+// the store must have begun to show that the store never had it. It exceeds the delay of any
+// response.
+const falseNumberTimeout = 10 * time.Second
+
+// isFalse reports whether a revision or version that another balancer sent at the given time, zero
+// if none did, must be wrong if a read of the store that began at readAt shows a lower one.
+func isFalse(sentAt, readAt time.Time) bool {
+	return !sentAt.IsZero() && readAt.Sub(sentAt) > falseNumberTimeout
+}
+
+// raiseRevision records the revision of the data of another balancer.
+func (g *registry) raiseRevision(now time.Time, revision uint64) {
+	if revision > g.revision {
+		g.revision, g.revisionRaisedAt = revision, now
+	}
+}
+
+// resetRevisions forgets the revisions of the targets, so that a listing replaces all of them.
+func (g *registry) resetRevisions() {
+	for _, t := range g.byID {
+		t.Revision, t.goneRevision = 0, 0
+	}
+}
+
 // confirm records that the data matched the store at the given time.
 func (g *registry) confirm(asOf time.Time) {
 	if asOf.After(g.asOf) {
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -398,7 +398,7 @@
 		return
 	}
 	s.follower.RecordAnswer(parent, asOf)
-	s.options.Dispatcher.ConfirmAsOf(asOf, revision)
+	s.options.Dispatcher.ConfirmAsOf(s.options.Now(), asOf, revision)
 }
 
 func (s *Service) log(withLevel func(log.Logger) log.Logger, msg string, keyvals ...any) {
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -286,7 +286,7 @@
 	wrong.SetRoutes(dsr.RouteSet{Version: 3, Routes: []*dsr.Route{{Name: "dropped", Address: protocol.Endpoint{IP: [4]byte{198, 18, 0, 9}, Port: 443}}}})
 	delta, ok := wrong.RoutesDelta(0)
 	assert.Assert(t, ok)
-	assert.Equal(t, follower.dispatcher.ApplyRoutesDelta(delta), dsr.DeltaApplied)
+	assert.Equal(t, follower.dispatcher.ApplyRoutesDelta(follower.clock.now(), delta), dsr.DeltaApplied)
 	parent.repeatUntilStopped(t, func() { parent.applyPlatformState(3, 10, "i-1") })
 	waitFor(t, "the follower to have the routes of its parent", func() bool {
 		return follower.follows() && follower.dispatcher.Gauges().RoutesDigest == parent.dispatcher.Gauges().RoutesDigest
--- a/internal/transport/feed/fetch.go
+++ b/internal/transport/feed/fetch.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	switch s.options.Dispatcher.ApplyRoutesDelta(delta) {
+	switch s.options.Dispatcher.ApplyRoutesDelta(s.options.Now(), delta) {
 	case dsr.DeltaOutdated:
 		return errors.New("the routes here changed during the fetch, so the delta does not apply")
 	case dsr.DeltaMismatch:
--- a/internal/transport/feed/fuzz_test.go
+++ b/internal/transport/feed/fuzz_test.go
@@ -32,7 +32,7 @@
 		var routesResponse wire.FeedRoutesResponse
 		if proto.Unmarshal(routes, &routesResponse) == nil {
 			if delta, err := decodeRoutesDelta(0, &routesResponse); err == nil {
-				d.ApplyRoutesDelta(delta)
+				d.ApplyRoutesDelta(now, delta)
 			}
 		}
 		var targetsResponse wire.FeedTargetsResponse
