Keep the counters of routes that a delta leaves unchanged

Applying a delta replaced the counters of each unchanged route by new ones, because the old and the new route are one object. TestDeltaKeepsCountersOfUnchangedRoutes failed before (0 instead of 5 requests in progress).

--- a/internal/coordination/dsr/delta_test.go
+++ b/internal/coordination/dsr/delta_test.go
@@ -301,3 +301,23 @@
 	_, ok = d.RoutesDelta(math.MaxUint64)
 	assert.Assert(t, !ok)
 }
+
+// Guards against counters of a route that start anew at each delta that does not change it, so
+// that they become negative and the limit under overload does not act.
+func TestDeltaKeepsCountersOfUnchangedRoutes(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	for range 5 {
+		b.newFlow(0).open().sendRequest(10)
+	}
+	other := NewDispatcher(Options{})
+	other.SetRoutes(newRouteSet(1, "web", "other"))
+	next := newRouteSet(2, "web", "other")
+	other.SetRoutes(next)
+	delta, ok := other.RoutesDelta(1)
+	assert.Assert(t, ok)
+	assert.Equal(t, b.d.ApplyRoutesDelta(b.now, delta), DeltaApplied)
+	usage := b.d.routes.current[routeAddress(0)].usage
+	assert.Equal(t, usage.inFlight, 5)
+	b.advance(time.Minute)
+	assert.Equal(t, *b.d.routes.current[routeAddress(0)].usage, routeUsage{activeRatio: usage.activeRatio})
+}
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -133,9 +133,10 @@
 	t.current = set.byAddress()
 	t.flowLimits = make(map[string]int)
 	for _, r := range t.current {
-		r.usage = &routeUsage{}
 		if old := previous[r.Address]; old != nil {
 			r.usage = old.usage
+		} else {
+			r.usage = &routeUsage{}
 		}
 		if !r.equal(previous[r.Address]) {
 			t.changedVersions[r.Address] = set.Version
