Refuse or bound fields of a parent's response at their limits

Slots of 0 or beyond the largest number, weights that are no number or infinite, and durations that overflow were applied as they came. Responses with such targets or weights are refused with an error that names the object, so the follower reads the store when its data are too old; durations are bounded. TestExtremeParentResponses covers each field.

--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,6 +72,9 @@
 			Priority:      int(route.GetPriority()),
 		}
 		for _, b := range route.GetBackends() {
+			if w := b.GetWeight(); !(w > 0) || math.IsInf(w, 1) {
+				return dsr.RoutesDelta{}, errors.Errorf("decode route %s: weight %v of backend %s; expected a number above 0", route.GetName(), w, b.GetService())
+			}
 			r.Backends = append(r.Backends, dsr.Backend{
 				Service:           b.GetService(),
 				Weight:            b.GetWeight(),
@@ -129,6 +133,9 @@
 		if err != nil {
 			return dsr.Delta{}, errors.Wrapf(err, "decode target %s", t.GetId())
 		}
+		if t.GetId() == "" || t.GetService() == "" || t.GetSlots() == 0 || t.GetSlots() > dsr.MaxSlots {
+			return dsr.Delta{}, errors.Errorf("decode target %q: service %q, %d slots; expected a name and 1 to %d slots", t.GetId(), t.GetService(), t.GetSlots(), dsr.MaxSlots)
+		}
 		d.Targets = append(d.Targets, dsr.Announcement{
 			ID:              t.GetId(),
 			Incarnation:     t.GetIncarnation(),
@@ -153,4 +160,10 @@
 	return protocol.Endpoint{IP: [4]byte(ip), Port: uint16(port)}, nil
 }
 
-func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxMilliseconds is the longest duration that is taken from another balancer. Added to a time it
+// cannot overflow.
+const maxMilliseconds = int64(366 * 24 * time.Hour / time.Millisecond)
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), maxMilliseconds)) * time.Millisecond
+}
--- a/internal/transport/feed/fuzz_test.go
+++ b/internal/transport/feed/fuzz_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -52,3 +53,30 @@
 		}
 	})
 }
+
+// Guards against fields of a parent's response at their limits: they must be refused with an error
+// that names the object, or bounded alike on all processors.
+func TestExtremeParentResponses(t *testing.T) {
+	ip := []byte{10, 0, 0, 1}
+	for name, response := range map[string]*wire.FeedTargetsResponse{
+		"i-1": {Targets: []*wire.FeedTarget{{Id: "i-1", Service: "web", Ip: ip, Port: 80, Slots: 0}}},
+		"i-2": {Targets: []*wire.FeedTarget{{Id: "i-2", Service: "web", Ip: ip, Port: 80, Slots: math.MaxUint32}}},
+		"i-3": {Targets: []*wire.FeedTarget{{Id: "i-3", Ip: ip, Port: 80, Slots: 1}}},
+		"i-4": {Targets: []*wire.FeedTarget{{Id: "i-4", Service: "web", Ip: ip, Port: 65536, Slots: 1}}},
+		"i-5": {Targets: []*wire.FeedTarget{{Id: "i-5", Service: "web", Ip: ip[:3], Port: 80, Slots: 1}}},
+	} {
+		_, err := decodeTargetsDelta(response)
+		assert.ErrorContains(t, err, name)
+	}
+	for _, weight := range []float64{0, -1, math.Inf(1), math.NaN()} {
+		_, err := decodeRoutesDelta(0, &wire.FeedRoutesResponse{Changed: []*wire.FeedRoute{{Name: "r-1", Ip: ip, Port: 80, Backends: []*wire.FeedBackend{{Service: "web", Weight: weight}}}}})
+		assert.ErrorContains(t, err, "r-1", "%v", weight)
+	}
+	for _, extreme := range []int64{math.MaxInt64, math.MinInt64} {
+		d, err := decodeRoutesDelta(0, &wire.FeedRoutesResponse{IdleTimeoutMs: extreme, Changed: []*wire.FeedRoute{{Ip: ip, TimeoutMs: extreme, LatencyMs: extreme}}})
+		assert.NilError(t, err)
+		want := milliseconds(extreme)
+		assert.Assert(t, want == 0 || want == time.Duration(maxMilliseconds)*time.Millisecond)
+		assert.Assert(t, d.IdleTimeout == want && d.Changed[0].Timeout == want && d.Changed[0].LatencyTarget == want)
+	}
+}
