--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -180,6 +180,8 @@
 	// RoutesDigest is a hash of the routes in force. It differs between two balancers with
 	// one version if their routes differ.
 	RoutesDigest Digest
+	// TargetsDigest is a hash of the targets that are not gone.
+	TargetsDigest Digest
 	// LossShare is the estimated loss rate of packets.
 	LossShare float64
 }
@@ -188,7 +190,7 @@
 func (d *Dispatcher) Gauges() Gauges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate()}
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate()}
 	for _, targets := range d.targets.byService {
 		for _, t := range targets {
 			g.Targets++
