--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -379,11 +379,12 @@
 	}
 	routesDiffer = state.GetRoutesVersion() == own.RoutesVersion && state.GetRoutesDigest() != own.RoutesDigest.Low()
 	targetsDiffer = !newTargets && state.GetTargetsDigest() != own.TargetsDigest.Low()
+	differedBefore := s.differs
 	s.differs = routesDiffer || targetsDiffer
 	if targetsDiffer {
 		s.parentEpoch = 0 // all targets must be fetched
 	}
-	if s.differs {
+	if s.differs && !differedBefore {
 		s.options.Dispatcher.ReportMismatch(routesDiffer, targetsDiffer)
 	}
 	return routesDiffer, targetsDiffer
