--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -1,10 +1,7 @@
 package dsr
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -202,31 +199,6 @@
 	return append(events, gone...), keptUntil
 }
 
-// falseNumberTimeout is how long after another balancer has sent a revision or a version a read of
-// the store must have begun to show that the store never had it. It exceeds the delay of any
-// response.
-const falseNumberTimeout = 10 * time.Second
-
-// isFalse reports whether a revision or version that another balancer sent at the given time, zero
-// if none did, must be wrong if a read of the store that began at readAt shows a lower one.
-func isFalse(sentAt, readAt time.Time) bool {
-	return !sentAt.IsZero() && readAt.Sub(sentAt) > falseNumberTimeout
-}
-
-// raiseRevision records the revision of the data of another balancer.
-func (g *registry) raiseRevision(now time.Time, revision uint64) {
-	if revision > g.revision {
-		g.revision, g.revisionRaisedAt = revision, now
-	}
-}
-
-// resetRevisions forgets the revisions of the targets, so that a listing replaces all of them.
-func (g *registry) resetRevisions() {
-	for _, t := range g.byID {
-		t.Revision, t.goneRevision = 0, 0
-	}
-}
-
 // confirm records that the data matched the store at the given time.
 func (g *registry) confirm(asOf time.Time) {
 	if asOf.After(g.asOf) {
@@ -313,15 +285,6 @@
 	return Event{Kind: EventTargetGone, target: t, Revision: g.revision}
 }
 
-// assignToken resolves a token collision in favor of the target that was created first.
-// The other target receives no flows while the first may still have some.
-func (g *registry) assignToken(t *Target) {
-	holder := g.byToken[t.Token]
-	if holder == nil || t.Created < holder.Created {
-		g.byToken[t.Token] = t
-	}
-}
-
 // markMissingGone marks targets that are no longer listed as gone, unless their entries
 // may reappear. keptUntil is the latest time until which one of these may, zero if there are
 // none.
@@ -376,69 +339,3 @@
 		}
 	}
 }
-
-// reassignToken assigns a released token to the target that was created first among
-// those that share it.
-func (g *registry) reassignToken(token Token) {
-	for _, t := range g.byID {
-		if t.Token == token {
-			g.assignToken(t)
-		}
-	}
-}
-
-// rebuildIndex updates the digest and rebuilds the lists of targets by service, sorted by ID so
-// that all balancers use the same order.
-func (g *registry) rebuildIndex() {
-	g.contentDigest = g.digest()
-	clear(g.byService)
-	for _, t := range g.firstEntries() {
-		if g.byToken[t.Token] == t {
-			g.byService[t.Service] = append(g.byService[t.Service], t)
-		}
-	}
-	for _, targets := range g.byService {
-		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
-		boundSlots(targets)
-	}
-}
-
-// targetIdentity identifies the process that receives the packets of a target.
-type targetIdentity struct {
-	endpoint    protocol.Endpoint
-	incarnation uint64
-}
-
-// firstEntries returns the targets that are not gone. Of several entries that name one process,
-// it returns the one that was created first: a later one may be of another writer, who does not
-// know the state of the target or names another service.
-func (g *registry) firstEntries() map[targetIdentity]*Target {
-	first := make(map[targetIdentity]*Target, len(g.byID))
-	for _, t := range g.byID {
-		if !t.goneAt.IsZero() {
-			continue
-		}
-		identity := targetIdentity{t.Endpoint, t.Incarnation}
-		if other := first[identity]; other == nil || t.createdBefore(other) {
-			first[identity] = t
-		}
-	}
-	return first
-}
-
-func (t *Target) createdBefore(other *Target) bool {
-	return cmp.Or(cmp.Compare(t.firstCreated, other.firstCreated), strings.Compare(t.ID, other.ID)) < 0
-}
-
-// boundSlots sets the effective slots of the targets of one service.
-func boundSlots(targets []*Target) {
-	slots := make([]int, len(targets))
-	for i, t := range targets {
-		slots[i] = t.Slots
-	}
-	slices.Sort(slots)
-	median := max(slots[(len(slots)-1)/2], 1)
-	for _, t := range targets {
-		t.effectiveSlots = min(max(t.Slots, 1), maxSlotsRatio*median)
-	}
-}
