--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -81,7 +81,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"node-name": vm, "role": "balancer", "machine-class": "front", "serves": []string{"front"}, "ip": ip, "zone": place, "region": "region", "zones": zones,
 		"listen":         map[string]string{"datagram-addr": netip.AddrPortFrom(ip, standin.PacketPort).String(), "ready": netip.AddrPortFrom(ip, readyPort).String()},
-		"internal-ports": []int{internalPort, internalPort + 15}, "bootstrap": true, "hash": "mod", "access-mode": "echo", "heartbeat-ms": 1200,
+		"internal-ports": []int{internalPort, internalPort + 15}, "bootstrap": true, "hash": "mod", "access-mode": "echo", "heartbeat-ms": Heartbeat.Milliseconds(),
 		"bounds":   bounds,
 		"platform": map[string]any{"address": store, "access-mode": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20, "value-bytes": 1048576, "ttl-min-ms": 1000},
 	})
