dsr: prefer target entries whose service a route names

What callers saw: another writer kept a second entry for each target, under a key of its own, with all fields and a service that no route names. The targets had restarted under their IDs.

Cause: of several entries with one address and incarnation, registry.firstEntries used the one that was created first, whatever service it named. A restarted target creates its entry anew, later than the second entry. Running balancers remember the earlier creation (firstCreated); a balancer that starts does not and used the second entry alone.

Evidence: on the unchanged code, TestEntryOfUnroutedServiceDoesNotDisplaceTarget and TestFirstEntryFollowsRoutedServices fail at the first opener that follows the new entries or routes: "assertion failed: reset != forward: no-target".

Fix: an entry whose service a current route names precedes one whose service none names; between entries of the same kind the order is unchanged. The result depends on the current routes and entries alone, so a restart does not change it. The index is rebuilt when a version or a delta of the routes changes the set of routed services. Only the choice for new flows depends on this order: packets of open flows find their target by the token, which belongs to an ID, so none of them goes elsewhere than before.

Collisions of tokens between IDs are still decided by creation alone.

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -68,10 +68,11 @@
 	if o.FailureHoldTime == 0 {
 		o.FailureHoldTime = defaultFailureHoldTime
 	}
+	routes := newRouteTable()
 	return &Dispatcher{
 		options: o,
-		routes:  newRouteTable(),
-		targets: newRegistry(o.MaxFlowLifetime),
+		routes:  routes,
+		targets: newRegistry(o.MaxFlowLifetime, routes.namesService),
 		loads:   make(map[string]Load),
 		flows:   make(map[protocol.FlowKey]*flow),
 		readyCh: make(chan struct{}),
@@ -115,7 +116,9 @@
 		kind = EventRoutesAdopted
 	}
 	if applied {
-		d.routes.apply(set, isFromStore)
+		if d.routes.apply(set, isFromStore) {
+			d.targets.rebuildIndex()
+		}
 	} else if isFromStore && set.Version == d.routes.version {
 		d.routes.isFromStore = true // the store has confirmed the routes
 	}
--- a/internal/coordination/dsr/index.go
+++ b/internal/coordination/dsr/index.go
@@ -50,8 +50,10 @@
 }
 
 // firstEntries returns the targets that are not gone. Of several entries that name one process,
-// it returns the one that was created first: a later one may be of another writer, who does not
-// know the state of the target or names another service.
+// it prefers those whose service a route names, and of these the one that was created first: a
+// later one may be of another writer, who does not know the state of the target or names another
+// service. The order of creation alone does not suffice, because a target that restarts creates
+// its entry anew, and a balancer that starts afterwards knows no earlier creation.
 func (g *registry) firstEntries() map[targetIdentity]*Target {
 	first := make(map[targetIdentity]*Target, len(g.byID))
 	for _, t := range g.byID {
@@ -59,14 +61,18 @@
 			continue
 		}
 		identity := targetIdentity{t.Endpoint, t.Incarnation}
-		if other := first[identity]; other == nil || t.createdBefore(other) {
+		if other := first[identity]; other == nil || g.precedes(t, other) {
 			first[identity] = t
 		}
 	}
 	return first
 }
 
-func (t *Target) createdBefore(other *Target) bool {
+// precedes reports whether an entry is used instead of another one that names the same process.
+func (g *registry) precedes(t, other *Target) bool {
+	if routed := g.isRouted(t.Service); routed != g.isRouted(other.Service) {
+		return routed
+	}
 	return cmp.Or(cmp.Compare(t.firstCreated, other.firstCreated), strings.Compare(t.ID, other.ID)) < 0
 }
 
--- a/internal/coordination/dsr/odd_test.go
+++ b/internal/coordination/dsr/odd_test.go
@@ -96,6 +96,53 @@
 	assert.Equal(t, b.d.Gauges().Targets, 3, "the remaining entry is used")
 }
 
+// Guards against a service without targets at a balancer that has just started: each target has
+// created its entry anew since another writer added one for it, whose service no route names.
+func TestEntryOfUnroutedServiceDoesNotDisplaceTarget(t *testing.T) {
+	for _, routesFirst := range []bool{true, false} {
+		d := NewDispatcher(Options{Place: "a", MaxFlowLifetime: time.Minute})
+		b := &testBalancer{t: t, d: d, now: startTime, revision: 100, nextPort: 1024}
+		for i := range 3 {
+			own := newAnnouncement(i, "web", "a")
+			own.Created, own.Revision = uint64(50+i), uint64(50+i)
+			b.targets = append(b.targets, own, newSecondEntry(newAnnouncement(i, "inventory", "a")))
+		}
+		if routesFirst {
+			d.SetRoutes(newRouteSet(1, "web"))
+			b.publishListing()
+		} else {
+			b.publishListing()
+			d.SetRoutes(newRouteSet(1, "web"))
+		}
+		for range 20 {
+			assert.Equal(t, b.newFlow(0).open().target.Service, "web", "routes first: %t", routesFirst)
+		}
+	}
+}
+
+// Guards against an index of targets that still follows the services that an earlier version of
+// the routes named, and against another order of two entries whose services are both routed.
+func TestFirstEntryFollowsRoutedServices(t *testing.T) {
+	b := newTestBalancer(t, 1)
+	second := newSecondEntry(b.targets[0])
+	second.Service, second.Created = "late", b.targets[0].Created+1
+	b.targets = append(b.targets, second)
+	b.publishListing()
+	assert.Equal(t, b.newFlow(0).open().target.Service, "web")
+	b.d.SetRoutes(newRouteSet(2, "late"))
+	assert.Equal(t, b.newFlow(0).open().target.Service, "late")
+	merged := b.d.ApplyRoutesDelta(b.now, RoutesDelta{AfterVersion: 2, Version: 3, Digest: newRouteSet(3, "web", "late").digest(), IdleTimeout: 15 * time.Second, Changed: newRouteSet(3, "web", "late").Routes})
+	assert.Equal(t, merged, DeltaApplied)
+	assert.Equal(t, b.newFlow(0).open().target.Service, "web", "both are routed: the first one is used")
+	assert.Equal(t, b.newFlow(1).sendOpener().Reason, ReasonNoTarget)
+}
+
+// newSecondEntry returns an entry that another writer keeps for a target.
+func newSecondEntry(a Announcement) Announcement {
+	a.ID = "inventory" + a.ID[1:]
+	return a
+}
+
 // Guards against many silent entries whose trial flows delay most requests of a service.
 func TestTrialsOfTargetsThatNeverAnsweredAreLimited(t *testing.T) {
 	b := newTestBalancer(t, 3)
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -119,9 +120,10 @@
 	return isFromStore && !t.isFromStore && set.Version > 0 && set.digest() != t.contentDigest
 }
 
-// apply replaces the current routes.
-func (t *routeTable) apply(set RouteSet, isFromStore bool) {
-	previous := t.current
+// apply replaces the current routes and reports whether the set of services that they name has
+// changed.
+func (t *routeTable) apply(set RouteSet, isFromStore bool) (servicesChanged bool) {
+	previous, previousByService := t.current, t.byService
 	if set.Version < t.version {
 		t.recentVersions, t.changedVersions = nil, make(map[protocol.Endpoint]uint64)
 	}
@@ -152,8 +154,12 @@
 			t.changedVersions[address] = set.Version
 		}
 	}
+	return !maps.EqualFunc(t.byService, previousByService, func(_, _ []protocol.Endpoint) bool { return true })
 }
 
+// namesService reports whether a current route names a service.
+func (t *routeTable) namesService(service string) bool { return len(t.byService[service]) > 0 }
+
 // equal reports whether two routes have the same settings. other may be nil.
 func (r *Route) equal(other *Route) bool {
 	return other != nil && r.Name == other.Name && r.Timeout == other.Timeout && r.LatencyTarget == other.LatencyTarget &&
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -149,9 +149,12 @@
 	storeUnavailable bool
 	tokenRetention   time.Duration
 	deriveToken      func(id string) Token
+	// isRouted reports whether a current route names a service. When its results change, the
+	// index must be rebuilt.
+	isRouted func(service string) bool
 }
 
-func newRegistry(maxFlowLifetime time.Duration) *registry {
+func newRegistry(maxFlowLifetime time.Duration, isRouted func(service string) bool) *registry {
 	return &registry{
 		byID:            make(map[string]*Target),
 		byToken:         make(map[Token]*Target),
@@ -160,6 +163,7 @@
 		epoch:           1 + uint64(rand.Uint32()),
 		tokenRetention:  maxFlowLifetime + tokenRetentionMargin,
 		deriveToken:     tokenForID,
+		isRouted:        isRouted,
 	}
 }
 
