dsr: reset flows of a removed route only if they are older than the removal

What callers saw: an operator removed a route by mistake and restored it 2.5 s later, while a balancer was being replaced.

Cause: the routers moved these flows to balancers that still had the version without the route.

Evidence: on the unchanged code, TestFlowOfRestoredRouteIsNotReset fails with "reset != drop: route-removed", and so do TestOpenerCopyOfRestoredRouteIsNotReset, TestFlowOlderThanRemovalIsReset and the five cases of TestReusedPortOnRestoredRouteIsNotReset, each at its first packet that must not be answered.

Fix: such a flow is reset only if it is in the flow table, where no flow is inserted while its route is missing, or if the routes matched the store (asOf) after its first packet came here and still lack the route. Versions only grow, so in the second case the version under which the flow was opened is older than the one that lacks the route. Until then packets are dropped with the new reason removal-unconfirmed. The caller sends them again and either reaches a balancer with the route, or gets the reset once the routes are confirmed. Once established, the result is kept, so that the caller gets the reset again if it was lost.

A caller may reuse a port for a new flow. Entries of the flow table and of the tracked flows count only for packets whose sequence and acknowledgement numbers are within one send window of theirs, and closed or refused entries not for later bytes. If a packet of the same flow does not match, its reset is delayed until the routes are confirmed.

Copies of openers to a removed route are treated alike, because another balancer may have forwarded the first transmission. First transmissions are still refused at once. At most 16,384 flows are tracked, for the idle timeout and the longest lifetime of a flow; packets of further ones are dropped. The flow table is bounded as before.

--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -43,7 +43,9 @@
 	routes  *routeTable
 	targets *registry
 	flows   map[protocol.FlowKey]*flow
-	events  []Event
+	// unroutedFlows holds flows of removed routes that packets were seen of since.
+	unroutedFlows map[protocol.FlowKey]*unroutedFlow
+	events        []Event
 	// latestAnsweredSentAt is the latest send time among the packets that any target
 	// has answered.
 	latestAnsweredSentAt time.Time
@@ -70,12 +72,13 @@
 	}
 	routes := newRouteTable()
 	return &Dispatcher{
-		options: o,
-		routes:  routes,
-		targets: newRegistry(o.MaxFlowLifetime, routes.namesService),
-		loads:   make(map[string]Load),
-		flows:   make(map[protocol.FlowKey]*flow),
-		readyCh: make(chan struct{}),
+		options:       o,
+		routes:        routes,
+		targets:       newRegistry(o.MaxFlowLifetime, routes.namesService),
+		loads:         make(map[string]Load),
+		flows:         make(map[protocol.FlowKey]*flow),
+		unroutedFlows: make(map[protocol.FlowKey]*unroutedFlow),
+		readyCh:       make(chan struct{}),
 	}
 }
 
@@ -232,6 +235,10 @@
 		return Decision{Reason: ReasonOpenerWithData}
 	}
 	route := d.routes.current[p.Flow.Service]
+	if route == nil && p.Retransmits > 0 && d.routes.wasRemoved(p.Flow.Service) {
+		// Another balancer may have forwarded an earlier transmission of the opener.
+		return d.handleRemovedRoute(now, p)
+	}
 	if route == nil {
 		return Decision{Action: ActionReset, Reason: ReasonNoRoute}
 	}
@@ -304,8 +311,7 @@
 		if !d.routes.wasRemoved(p.Flow.Service) {
 			return Decision{Reason: ReasonUnknownRoute}
 		}
-		d.removeFlowByKey(p.Flow)
-		return Decision{Action: ActionReset, Reason: ReasonRouteRemoved}
+		return d.handleRemovedRoute(now, p)
 	}
 	t := d.targets.byToken[p.Token]
 	f := d.flows[p.Flow]
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -91,12 +91,6 @@
 	return true
 }
 
-func (d *Dispatcher) removeFlowByKey(key protocol.FlowKey) {
-	if f := d.flows[key]; f != nil {
-		d.removeFlow(key, f)
-	}
-}
-
 // removeFlow removes a flow from the table and from the counters of its target and route.
 func (d *Dispatcher) removeFlow(key protocol.FlowKey, f *flow) {
 	f.finishRequest()
@@ -213,6 +207,7 @@
 	if idleTimeout == 0 {
 		idleTimeout = defaultIdleTimeout
 	}
+	d.expireUnroutedFlows(now, idleTimeout)
 	for _, t := range d.targets.byID {
 		t.idleFlowLoad = 0
 	}
@@ -226,7 +221,7 @@
 		}
 		idleFor := now.Sub(f.lastSeen)
 		openerExpired := !f.established && f.refusalReason == "" && now.Sub(f.openedAt) > openerTimeout
-		if openerExpired || idleFor > idleTimeout || (f.closed || f.refusalReason != "") && idleFor > closedFlowRetention || now.Sub(f.openedAt) > d.options.MaxFlowLifetime+idleTimeout {
+		if openerExpired || idleFor > idleTimeout || (f.closed || f.refusalReason != "") && idleFor > closedFlowRetention || d.exceedsLifetime(now, f.openedAt, idleTimeout) {
 			d.removeFlow(key, f)
 			continue
 		}
--- a/internal/coordination/dsr/packet.go
+++ b/internal/coordination/dsr/packet.go
@@ -86,7 +86,10 @@
 	ReasonForeignToken    Reason = "token-of-other-service"
 	ReasonUnknownRoute    Reason = "unknown-route"
 	ReasonNoTargetForCopy Reason = "no-target-for-copy"
-	ReasonOpenerWithData  Reason = "opener-with-data"
+	// ReasonRemovalUnconfirmed means that the routes here lack a route that they had, and that the
+	// flow may be newer than its removal.
+	ReasonRemovalUnconfirmed Reason = "removal-unconfirmed"
+	ReasonOpenerWithData     Reason = "opener-with-data"
 )
 
 // Decision says what to do with one packet, and why.
--- a/internal/coordination/dsr/routing_test.go
+++ b/internal/coordination/dsr/routing_test.go
@@ -84,6 +84,136 @@
 	assert.Equal(t, d.Reason, ReasonNoRoute)
 }
 
+// removeWebRoute applies a version of the routes that lacks the one to web.
+func (b *testBalancer) removeWebRoute(version uint64) {
+	removed := newRouteSet(version, "web", "other")
+	removed.Routes = removed.Routes[1:]
+	assert.Assert(b.t, b.d.SetRoutes(removed))
+}
+
+// openElsewhere returns an open flow of which the balancer has seen no packet.
+func (b *testBalancer) openElsewhere() *callerFlow {
+	c := b.newFlow(0)
+	c.target = b.d.targets.byToken[tokenForID(b.targets[0].ID)]
+	c.seq, c.ack = 1001, 5001
+	return c
+}
+
+// Guards against resetting a flow that was opened elsewhere under a newer version of the routes,
+// which has a removed route again, while the routes here are older.
+func TestFlowOfRestoredRouteIsNotReset(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	b.removeWebRoute(2)
+	b.d.ConfirmRead(b.now)
+	b.advance(time.Second)
+	c := b.openElsewhere()
+	for range 4 {
+		d := c.send(c.seq, 10)
+		assert.Equal(t, d.Action, ActionDrop, "%s", d.Reason)
+		b.advance(200 * time.Millisecond)
+	}
+	assert.Assert(t, b.d.SetRoutes(newRouteSet(3, "web", "other")))
+	assert.Equal(t, c.sendRequest(10).target, c.target)
+}
+
+// Guards against the reset of an open flow by a copy of its opener, which another balancer has
+// forwarded under a newer version of the routes.
+func TestOpenerCopyOfRestoredRouteIsNotReset(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	b.removeWebRoute(2)
+	b.d.ConfirmRead(b.now)
+	c := b.newFlow(0)
+	c.retransmits = 1
+	b.advance(200 * time.Millisecond)
+	assert.Equal(t, c.sendOpener().Action, ActionDrop)
+	b.advance(200 * time.Millisecond)
+	b.d.ConfirmRead(b.now)
+	assert.Equal(t, c.sendOpener().Action, ActionReset, "the route is missing in newer data")
+}
+
+// Guards against callers that wait for their timeout because packets of flows whose route was
+// removed are dropped for good, or dropped again after the first reset.
+func TestFlowOlderThanRemovalIsReset(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	b.removeWebRoute(2)
+	b.advance(time.Second)
+	c := b.openElsewhere()
+	c.send(c.seq, 10)
+	b.d.ConfirmRead(b.now) // as of the first packet: the flow may have been opened just before
+	b.advance(200 * time.Millisecond)
+	assert.Equal(t, c.send(c.seq, 10).Action, ActionDrop)
+	b.d.ConfirmRead(b.now.Add(-time.Millisecond))
+	for range 3 {
+		d := c.send(c.seq, 10)
+		assert.Equal(t, d.Action, ActionReset)
+		assert.Equal(t, d.Reason, ReasonRouteRemoved)
+		b.advance(200 * time.Millisecond)
+	}
+}
+
+// Guards against unbounded memory for flows of removed routes, and against resets of flows for
+// which there is no room.
+func TestUnroutedFlowsAreBounded(t *testing.T) {
+	b := newTestBalancer(t, 3)
+	b.removeWebRoute(2)
+	b.d.ConfirmRead(b.now)
+	b.advance(time.Second)
+	last := b.openElsewhere()
+	for range maxUnroutedFlows + 10 {
+		last = b.openElsewhere()
+		assert.Equal(t, last.send(last.seq, 10).Reason, ReasonRemovalUnconfirmed)
+	}
+	assert.Equal(t, len(b.d.unroutedFlows), maxUnroutedFlows)
+	b.d.ConfirmRead(b.now)
+	b.advance(time.Second)
+	assert.Equal(t, last.send(last.seq, 10).Reason, ReasonRemovalUnconfirmed)
+	b.advance(16 * time.Second)
+	assert.Equal(t, len(b.d.unroutedFlows), 0, "idle flows are removed")
+	last.send(last.seq, 10)
+	for range 20 {
+		b.advance(5 * time.Second)
+		last.send(last.seq, 10)
+	}
+	assert.Assert(t, b.now.Sub(b.d.unroutedFlows[last.flow].firstSeen) < 2*time.Minute, "no flow is older than the longest lifetime")
+}
+
+// Guards against an entry of the flow table, or of an earlier flow on the removed route, that
+// stands for a newer flow on the same port of the caller.
+func TestReusedPortOnRestoredRouteIsNotReset(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reuse func(b *testBalancer, c *callerFlow)
+	}{
+		{"other sequence numbers", func(_ *testBalancer, c *callerFlow) { c.seq, c.ack = c.seq+1<<20, c.ack+1<<24 }},
+		{"other sequence numbers of the target", func(_ *testBalancer, c *callerFlow) { c.ack += 1 << 24 }},
+		{"closed", func(_ *testBalancer, c *callerFlow) { c.sendFin(); c.seq += 100 }},
+		{"refused", func(b *testBalancer, c *callerFlow) {
+			b.d.flows[c.flow].refusalReason, b.d.flows[c.flow].nextSeq = ReasonOverload, 0
+		}},
+		{"after a reset", func(b *testBalancer, c *callerFlow) {
+			b.removeWebRoute(2)
+			assert.Equal(t, c.send(c.seq, 10).Reason, ReasonRouteRemoved)
+			c.seq, c.ack = c.seq+1<<20, c.ack+1<<24
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestBalancer(t, 3)
+			c := b.newFlow(0).open()
+			b.advance(200 * time.Millisecond)
+			b.d.ConfirmRead(b.now)
+			test.reuse(b, c)
+			if b.d.routes.version == 1 {
+				b.removeWebRoute(2)
+			}
+			d := c.send(c.seq, 10)
+			assert.Equal(t, d.Action, ActionDrop, "%s", d.Reason)
+			b.advance(200 * time.Millisecond)
+			b.d.ConfirmRead(b.now)
+			assert.Equal(t, c.send(c.seq, 10).Reason, ReasonRouteRemoved, "the route is missing in newer data")
+		})
+	}
+}
+
 // Guards against reverting to an older configuration.
 func TestOlderRoutesAreIgnored(t *testing.T) {
 	b := newTestBalancer(t, 3)
