Platform: read the store at start although it answers only for half a second

Cause: a balancer without data had one read in progress. A read that meets a silent store hangs until its timeout (1 s to connect, 1.5 s for an answer), and a backoff of up to 1 s follows, so that no read began while the store answered. The member list had the same fault: a failed read was repeated after 2 s.

Evidence: TestStartUsesShortTimeOfAnswers on the unchanged code, for a store that accepts and does not answer, and one that does not accept connections, each after 0.4 and 1.95 s of silence, followed by 0.5 s of answers: assertion failed: 0 (ready int) != 10 (int): balancers with data after the store answered for 500ms in all four cases. TestMembersAreReadAfterFirstData on the unchanged code: assertion failed: 1 (int64) != 2 (int64): failed read: reads of the member list within half a second of the first data

Fix: a balancer without data starts a further read every 0.2 to 0.3 s, at random, on a connection of its own, while earlier ones are in progress, at most eight at once. One of them begins in the first 0.3 s of the answers, which leaves 0.2 s to complete it. Earlier reads keep their timeout, so a slow store is still read. The reads only read; the watcher applies the first complete one and cancels the others. A further read calls for the targets first and for the configuration afterwards, so that it makes one call while the store is silent. While a read receives its answer, no further one starts, since they would share a slow link. Refusals back off as before, varied by a quarter. When a store that restarts resets all attempts at once, this counts as one refusal. attemptSchedule decides this without I/O and clock; in its simulation 195 balancers make at most 1,950 calls in any second (with member lists, registrations and watches; 150 targets in pages of 50), when the store answers from the start, as before this change.

The member list is read again when the first data are known, also if the first read hangs, without a registration: its calls would come in the same second as the reads. Balancers that have data read as before.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -45,6 +45,8 @@
 type Conn struct {
 	base   string
 	client *http.Client
+	// progress, unless nil, is called when a part of a response has been received.
+	progress func()
 	// Calls counts the calls by outcome, "answered" or "failed", and by name.
 	Calls *telemetry.CounterSet
 	// Latency is the latency of all calls except long polls.
@@ -74,6 +76,15 @@
 
 // NewConn returns a Conn for the platform at baseURL. It does not connect yet.
 func NewConn(baseURL string) *Conn {
+	return &Conn{
+		base:    baseURL,
+		Calls:   telemetry.NewCounterSet(),
+		Latency: telemetry.NewHistogram(),
+		client:  newHTTPClient(),
+	}
+}
+
+func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -83,15 +94,27 @@
 			Count:    keepAliveCount,
 		},
 	}
-	return &Conn{
-		base:    baseURL,
-		Calls:   telemetry.NewCounterSet(),
-		Latency: telemetry.NewHistogram(),
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-		}},
-	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConnections,
+	}}
+}
+
+// WithOwnConnections returns a Conn with the same counters that shares no connections with c. A
+// call on it does not wait for the connection attempts of other calls. The caller must close its
+// idle connections.
+func (c *Conn) WithOwnConnections() *Conn {
+	own := *c
+	own.client = newHTTPClient()
+	return &own
+}
+
+// WithProgress returns a Conn on the same connections that calls report whenever a part of a
+// response has been received.
+func (c *Conn) WithProgress(report func()) *Conn {
+	reporting := *c
+	reporting.progress = report
+	return &reporting
 }
 
 // Call makes a call. The error is nil if a complete response was received, regardless of its
@@ -148,6 +171,9 @@
 		return Response{}, unwrapURLError(err)
 	}
 	tracker.Report()
+	if c.progress != nil {
+		httpResponse.Body = progressBody{httpResponse.Body, c.progress}
+	}
 	responseBody := tracker.Body(httpResponse.Body)
 	defer responseBody.Close()
 	body, err := io.ReadAll(io.LimitReader(responseBody, maxResponseBytes))
@@ -157,6 +183,20 @@
 	return Response{Status: httpResponse.StatusCode, Body: body}, nil
 }
 
+// progressBody reports each part of a body that is read.
+type progressBody struct {
+	io.ReadCloser
+	report func()
+}
+
+func (b progressBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.report()
+	}
+	return n, err
+}
+
 // unwrapURLError removes method and URL from an error of the HTTP library. The caller adds
 // the key instead, which is easier to read for operators.
 func unwrapURLError(err error) error {
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,6 +75,30 @@
 	assert.ErrorContains(t, err, "deadline exceeded")
 }
 
+// Guards against a further attempt that waits for the connection of an earlier one, and against
+// one that starts although the earlier one is receiving its response.
+func TestOwnConnectionsAndProgress(t *testing.T) {
+	var clients sync.Map
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		clients.Store(r.RemoteAddr, true)
+		_, _ = w.Write([]byte("response")) // the client sees the failure
+	}))
+	defer server.Close()
+	conn := NewConn(server.URL)
+	var reports int
+	own := conn.WithOwnConnections()
+	for _, c := range []*Conn{conn, own.WithProgress(func() { reports++ }), conn, own} {
+		response, err := c.Call(context.Background(), Request{Name: "x", Method: http.MethodGet, Path: "/x"})
+		assert.NilError(t, err)
+		assert.Equal(t, string(response.Body), "response")
+	}
+	connections := 0
+	clients.Range(func(any, any) bool { connections++; return true })
+	assert.Equal(t, connections, 2)
+	assert.Assert(t, reports > 0)
+	assert.Equal(t, conn.Calls.Value("answered", "x"), int64(4))
+}
+
 // Guards against reporting an unknown outcome for a call to a platform that refuses
 // connections.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -31,6 +31,8 @@
 	platformRouteReads atomic.Int64
 	// platformRouteReadDuration is how long such a read takes, in nanoseconds.
 	platformRouteReadDuration atomic.Int64
+	// beforeMembers, unless nil, delays or fails the reads of the member list.
+	beforeMembers func(context.Context) error
 }
 
 func (d *memoryDirectory) Register(_ context.Context, m feed.Member) error {
@@ -42,7 +44,12 @@
 	return nil
 }
 
-func (d *memoryDirectory) Members(context.Context) ([]feed.Member, error) {
+func (d *memoryDirectory) Members(ctx context.Context) ([]feed.Member, error) {
+	if d.beforeMembers != nil {
+		if err := d.beforeMembers(ctx); err != nil {
+			return nil, err
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Clone(d.members), nil
--- a/internal/transport/feed/members.go
+++ b/internal/transport/feed/members.go
@@ -9,25 +9,54 @@
 	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
 )
 
+// hungReadDelay is how long a read of the member list may still take once this balancer has its
+// first data. A platform that is 60 times slower than usual answers within a quarter of a second.
+const hungReadDelay = 300 * time.Millisecond
+
 // pollMembers registers this balancer and reads the member list periodically until ctx
-// ends.
+// ends. A read that failed or hangs is repeated when this balancer gets its first data: the
+// platform answers then, possibly only for a short time. That read does not register: when a
+// fleet starts, the calls of the registrations would come in the same second as the first reads.
 func (s *Service) pollMembers(ctx context.Context) {
+	firstData := s.options.Dispatcher.Ready()
 	for first := true; ctx.Err() == nil; first = false {
-		interval, err := s.refreshMembers(ctx)
+		if isClosed(firstData) {
+			firstData = nil
+		}
+		interval, err := s.refreshMembers(ctx, firstData)
 		if first {
 			interval = firstMembersInterval
 		}
+		var retry <-chan struct{}
 		if err != nil && ctx.Err() == nil {
 			s.log(level.Warn, "failed to register or to read the member list", "err", err)
-			interval = membersRetryDelay
+			interval, retry = membersRetryDelay, firstData
+		}
+		next := time.After(interval)
+		select {
+		case <-retry:
+			_, _ = s.readMembers(ctx, nil) // if it fails, the next read follows after the usual delay
+			next = time.After(interval)
+		case <-ctx.Done():
+		case <-next:
+			continue
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(interval):
+		case <-next:
 		}
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // nextMembersInterval returns the interval until the next read of the member list. It
 // grows with the list, because an outdated list only means that the balancer follows
 // another parent than with the current one. If the balancer is missing from the list, the
@@ -41,16 +70,33 @@
 
 // refreshMembers reads and applies the member list, registers this balancer, and returns
 // the interval until the next read. The list comes first, because a balancer that has just
-// started finds its parent in it.
-func (s *Service) refreshMembers(ctx context.Context) (time.Duration, error) {
-	members, err := s.options.Directory.Members(ctx)
-	s.setMembers(members, err)
+// started finds its parent in it. firstData, unless nil, is closed when this balancer gets its
+// first data.
+func (s *Service) refreshMembers(ctx context.Context, firstData <-chan struct{}) (time.Duration, error) {
+	members, err := s.readMembers(ctx, firstData)
 	if err != nil {
 		return 0, err
 	}
 	return nextMembersInterval(s.options.Self.VM, members), s.options.Directory.Register(ctx, s.options.Self)
 }
 
+// readMembers reads and applies the member list. It ends a read that still hangs after the first
+// data.
+func (s *Service) readMembers(ctx context.Context, firstData <-chan struct{}) ([]feed.Member, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-firstData:
+			time.AfterFunc(hungReadDelay, cancel)
+		}
+	}()
+	members, err := s.options.Directory.Members(ctx)
+	s.setMembers(members, err)
+	return members, err
+}
+
 // setMembers applies the result of a read of the member list.
 func (s *Service) setMembers(members []feed.Member, err error) {
 	s.mu.Lock()
