Reset flows of a gone target only after two unanswered packets

Cause: resetReason took a single recent failure of a gone target for its end. A missing entry shows only that the entry was removed, which another writer may have done, and a single packet may be lost.

The flows are now reset from minFailureThreshold consecutive failures on, which also end with the target's next answer. One failure is still enough when an entry that was created later names the address with another incarnation, because the old process cannot serve there. An entry of the same incarnation is of the same process, and an older one proves nothing. A packet counts as a failure under the same conditions as before (answerOverdue).

Failed before: TestFlowsOfGoneTargetSurviveLostPacket, TestFlowsOfGoneTargetAreResetAfterTwoUnansweredPackets (both "reset != forward" at the first unanswered packet) and TestFlowsAtAddressOfNewProcessAreResetAfterOneUnansweredPacket ("reset != forward: another address"). TestFlowsOfGoneTargetSurviveLocalOutage passed before and guards the protection against local faults.

--- a/internal/coordination/dsr/evidence.go
+++ b/internal/coordination/dsr/evidence.go
@@ -101,12 +101,24 @@
 	if t.health.mayResetFlows(now, d.options.FailureHoldTime) {
 		return ReasonTargetSilent, true
 	}
-	if !t.goneAt.IsZero() && t.health.failedRecently(now) {
+	if !t.goneAt.IsZero() && t.health.failedRecently(now) && t.health.failures >= d.targets.goneFailureThreshold(t) {
 		return ReasonTargetGone, true
 	}
 	return "", false
 }
 
+// goneFailureThreshold returns the number of consecutive unanswered packets after which the flows
+// of a gone target are reset. A missing entry does not show that the process has ended, because
+// another writer may have removed it, and a single packet may be lost. An entry of a later process
+// at the same address shows that it has.
+func (g *registry) goneFailureThreshold(t *Target) int {
+	latest := g.latestByEndpoint[t.Endpoint]
+	if latest != nil && latest.Incarnation != t.Incarnation && latest.Created > t.Created {
+		return 1
+	}
+	return minFailureThreshold
+}
+
 // extraFailuresRequired returns how much higher the failure threshold of a target is
 // because other targets fail at the same time. If most targets fail, the balancer's own
 // link or processor is overloaded. Only the targets of the balancer's place count when
--- a/internal/coordination/dsr/index.go
+++ b/internal/coordination/dsr/index.go
@@ -28,11 +28,15 @@
 }
 
 // rebuildIndex updates the digest and rebuilds the lists of targets by service, sorted by ID so
-// that all balancers use the same order.
+// that all balancers use the same order, and the latest target of each address.
 func (g *registry) rebuildIndex() {
 	g.contentDigest = g.digest()
 	clear(g.byService)
+	clear(g.latestByEndpoint)
 	for _, t := range g.firstEntries() {
+		if latest := g.latestByEndpoint[t.Endpoint]; latest == nil || t.Created > latest.Created {
+			g.latestByEndpoint[t.Endpoint] = t
+		}
 		if g.byToken[t.Token] == t {
 			g.byService[t.Service] = append(g.byService[t.Service], t)
 		}
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -120,6 +120,9 @@
 	byToken map[Token]*Target
 	// byService holds the targets that are not gone and own their token, by service.
 	byService map[string][]*Target
+	// latestByEndpoint holds, by address, the target that was created last among those that are
+	// not gone.
+	latestByEndpoint map[protocol.Endpoint]*Target
 	// revision is the store revision of the latest data, asOf the latest time at which
 	// they were known to be current.
 	revision   uint64
@@ -156,14 +159,15 @@
 
 func newRegistry(maxFlowLifetime time.Duration, isRouted func(service string) bool) *registry {
 	return &registry{
-		byID:            make(map[string]*Target),
-		byToken:         make(map[Token]*Target),
-		byService:       make(map[string][]*Target),
-		lastFirstTrials: make(map[string]time.Time),
-		epoch:           1 + uint64(rand.Uint32()),
-		tokenRetention:  maxFlowLifetime + tokenRetentionMargin,
-		deriveToken:     tokenForID,
-		isRouted:        isRouted,
+		byID:             make(map[string]*Target),
+		byToken:          make(map[Token]*Target),
+		byService:        make(map[string][]*Target),
+		latestByEndpoint: make(map[protocol.Endpoint]*Target),
+		lastFirstTrials:  make(map[string]time.Time),
+		epoch:            1 + uint64(rand.Uint32()),
+		tokenRetention:   maxFlowLifetime + tokenRetentionMargin,
+		deriveToken:      tokenForID,
+		isRouted:         isRouted,
 	}
 }
 
