--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -104,6 +104,25 @@
 // acceptsNewFlows reports whether the target is neither gone nor draining.
 func (t *Target) acceptsNewFlows() bool { return t.goneAt.IsZero() && !t.Draining }
 
+// KnownTarget is a target that a balancer knows and has not marked as gone.
+type KnownTarget struct {
+	Announcement
+	// NeverAnswered is set if the target left packets unanswered, while others answered, and has
+	// answered none.
+	NeverAnswered bool
+}
+
+// KnownTarget returns the target of an ID. known is false if there is none, or it is gone.
+func (d *Dispatcher) KnownTarget(id string) (target KnownTarget, known bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets.byID[id]
+	if t == nil || !t.goneAt.IsZero() {
+		return KnownTarget{}, false
+	}
+	return KnownTarget{Announcement: t.Announcement, NeverAnswered: t.health.suspected() && t.health.lastSuccessAt.IsZero()}, true
+}
+
 // tokenForID derives the token from the ID alone, so that all balancers use the same token.
 func tokenForID(id string) Token {
 	h := xxhash.Sum64String(id)
@@ -247,6 +266,9 @@
 		g.markChanged(t)
 		t.contentHash = a.contentHash()
 	}
+	if a.Endpoint != t.Endpoint {
+		t.health = health{} // the evidence concerns the former address
+	}
 	if a.Started != t.Started {
 		t.health = health{}
 		events = append(events, Event{Kind: EventTargetRestarted, target: t, Revision: a.Revision})
