Late copies of answers: order what is read by the store's revision

Cause: the store client checked key and shape of a response. A copy of an earlier response, which arrives on a used connection just when the next request was sent there, passes these checks if both calls are the same. A lower version or revision from the store, read more than 10 s after another balancer had sent the higher one, then counted as proof that the higher one never existed.

A response of the latest state with a lower one, or one of another shape, is refused on a used connection; the connection is closed and the call repeated on a new one in the time that is left. Copies arrive only on used connections, so a lower revision on a new connection is the store's. Only such a response may end a false number of another balancer, by the rule of 10 s as before; a watch opens a connection while the data in use are of a higher revision than the last response. Full reads open connections from the start: while the store is calm, a copy has the same revision as the response. A connection is no call, so ordinary responses cost no further call. Pages never go back in revision. Refused responses are logged and counted (mismatched).

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -60,6 +60,13 @@
 	}, d.ready()
 }
 
+// Revision returns the store revision of the targets in use.
+func (d *Dispatcher) Revision() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets.revision
+}
+
 // Delta returns the changes after a sequence number of this process, or all targets if
 // the epoch is another one or the sequence number is out of range.
 func (d *Dispatcher) Delta(epoch, afterSequence uint64) Delta {
--- a/internal/coordination/dsr/revision.go
+++ b/internal/coordination/dsr/revision.go
@@ -8,9 +8,10 @@
 const falseNumberTimeout = 10 * time.Second
 
 // isFalse reports whether a revision or version that another balancer sent at the given time, zero
-// if none did, must be wrong if a read of the store that began at readAt shows a lower one.
+// if none did, must be wrong if a read of the store that began at readAt shows a lower one. readAt
+// is zero if the response may be a copy of an earlier one, which shows nothing.
 func isFalse(sentAt, readAt time.Time) bool {
-	return !sentAt.IsZero() && readAt.Sub(sentAt) > falseNumberTimeout
+	return !sentAt.IsZero() && !readAt.IsZero() && readAt.Sub(sentAt) > falseNumberTimeout
 }
 
 // raiseRevision records the revision of the data of another balancer.
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -51,7 +51,8 @@
 	Routes  []*Route
 	// IdleTimeout is how long a flow is kept after its last packet.
 	IdleTimeout time.Duration
-	// ReadAt is when the read of the routes was begun, zero if it was a watch.
+	// ReadAt is when the read of the routes was begun, zero if its response may be the copy of an
+	// earlier one and thus cannot show that a higher version never existed.
 	ReadAt time.Time
 }
 
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -37,7 +37,8 @@
 	Targets []Announcement
 	// Revision is the lowest store revision that the list may reflect.
 	Revision uint64
-	// ReadAt is when the read of the list was begun.
+	// ReadAt is when the read of the list was begun, zero if its response may be the copy of an
+	// earlier one and thus cannot show that a higher revision never existed.
 	ReadAt time.Time
 }
 
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -45,9 +45,12 @@
 type Conn struct {
 	base   string
 	client *http.Client
+	// singleUseClient opens a connection for each call and closes it afterwards.
+	singleUseClient *http.Client
 	// progress, unless nil, is called when a part of a response has been received.
 	progress func()
-	// Calls counts the calls by outcome, "answered" or "failed", and by name.
+	// Calls counts the calls by outcome, "answered" or "failed", and by name. Clients may count
+	// further outcomes.
 	Calls *telemetry.CounterSet
 	// Latency is the latency of all calls except long polls.
 	Latency *telemetry.Histogram
@@ -66,25 +69,42 @@
 	Timeout time.Duration
 	// LongPoll is true if the platform delays the response until there is a change.
 	LongPoll bool
+	// NewConnection is true if the call must not use a connection that was used before, on
+	// which the copy of an earlier response may arrive.
+	NewConnection bool
 }
 
 // Response is the complete response to a call.
 type Response struct {
 	Status int
 	Body   []byte
+	// OnUsedConnection is true if the connection had been used for another call before.
+	OnUsedConnection bool
+
+	connection net.Conn
+}
+
+// CloseConnection closes the connection on which the response arrived. If the response does not
+// belong to its request, the next one on the connection does not either, so a call that uses the
+// connection meanwhile must fail, too.
+func (r Response) CloseConnection() {
+	if r.connection != nil {
+		_ = r.connection.Close() // it may be closed already
+	}
 }
 
 // NewConn returns a Conn for the platform at baseURL. It does not connect yet.
 func NewConn(baseURL string) *Conn {
 	return &Conn{
-		base:    baseURL,
-		Calls:   telemetry.NewCounterSet(),
-		Latency: telemetry.NewHistogram(),
-		client:  newHTTPClient(),
+		base:            baseURL,
+		Calls:           telemetry.NewCounterSet(),
+		Latency:         telemetry.NewHistogram(),
+		client:          newHTTPClient(true),
+		singleUseClient: newHTTPClient(false),
 	}
 }
 
-func newHTTPClient() *http.Client {
+func newHTTPClient(reuseConnections bool) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -97,6 +117,7 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
+		DisableKeepAlives:   !reuseConnections,
 	}}
 }
 
@@ -105,7 +126,7 @@
 // idle connections.
 func (c *Conn) WithOwnConnections() *Conn {
 	own := *c
-	own.client = newHTTPClient()
+	own.client = newHTTPClient(true)
 	return &own
 }
 
@@ -152,9 +173,9 @@
 
 // roundTrip sends a request and reads the complete response.
 func (c *Conn) roundTrip(ctx context.Context, r Request, tracker *progress.Tracker) (Response, error) {
-	var connected atomic.Bool
+	var connection atomic.Pointer[httptrace.GotConnInfo]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info) },
 	})
 	httpRequest, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
@@ -163,8 +184,13 @@
 	if r.Method == http.MethodPost {
 		httpRequest.Header.Set("Content-Type", "application/json")
 	}
-	httpResponse, err := c.client.Do(httpRequest)
-	if err != nil && !connected.Load() {
+	client := c.client
+	if r.NewConnection {
+		client = c.singleUseClient
+	}
+	httpResponse, err := client.Do(httpRequest)
+	used := connection.Load()
+	if err != nil && used == nil {
 		return Response{}, fmt.Errorf("%w: %w", ErrNotSent, unwrapURLError(err))
 	}
 	if err != nil {
@@ -180,7 +206,7 @@
 	if err != nil {
 		return Response{}, errors.Wrap(err, "read response body")
 	}
-	return Response{Status: httpResponse.StatusCode, Body: body}, nil
+	return Response{Status: httpResponse.StatusCode, Body: body, OnUsedConnection: used.Reused, connection: used.Conn}, nil
 }
 
 // progressBody reports each part of a body that is read.
