Feed: refuse responses that are older than the parent's answer to the probe

A copy of an earlier response of the parent, or of the store when the parent has no changes for a follower, was applied, and the data then counted as current as of the answer to the probe, although they lacked what it announced. The next probe noticed the change, a ninth of the bound later.

The parent answers a probe before the fetch is sent, so its response must have at least the announced version, epoch, change and revision. Nothing changes on the wire. Answers to probes already carry the sequence number of the latest probe.

--- a/internal/transport/feed/state.go
+++ b/internal/transport/feed/state.go
@@ -78,7 +78,7 @@
 		return // a parent with older routes lags behind, so its answer confirms nothing
 	}
 	s.fetching = true
-	go s.fetchFromParent(ctx, parent, asOf, state.GetRevision(), needed)
+	go s.fetchFromParent(ctx, parent, asOf, state, needed)
 }
 
 // compareDigests compares the data here with the digests in an answer of the parent, if it has
