--- a/internal/coordination/dsr/choose.go
+++ b/internal/coordination/dsr/choose.go
@@ -40,11 +40,16 @@
 	lowestLoad, lowestSuspectedLoad := math.Inf(1), math.Inf(1)
 	preferProven := len(excluded) > 0
 	limit := d.routes.flowLimits[service]
+	place, otherPlacePenalty := d.placeForFlow(now, service, flowHash, len(excluded) > 0)
 	for _, t := range d.targets.byService[service] {
 		if !t.acceptsNewFlows() || !t.hasFlowCapacity(now, limit) || slices.Contains(excluded, t) {
 			continue
 		}
-		load := d.expectedLoad(now, t, flowHash)
+		penalty := 0.0
+		if t.Place != place {
+			penalty = otherPlacePenalty
+		}
+		load := d.expectedLoad(now, t, flowHash, penalty)
 		if preferProven && t.health.lastSuccessAt.IsZero() {
 			load += unprovenLoadPenalty
 		}
@@ -52,7 +57,7 @@
 			best, lowestLoad = t, load
 		}
 		if t.health.suspected() {
-			if len(excluded) == 0 && t.health.trialDue(now) && d.targets.allowTrial(now, t) {
+			if len(excluded) == 0 && (t.Place == place || !d.options.CrossPlace) && t.health.trialDue(now) && d.targets.allowTrial(now, t) {
 				t.health.lastTrialAt = now
 				return t
 			}
@@ -68,17 +73,18 @@
 }
 
 // expectedLoad returns the expected number of in-flight requests per slot with one more
-// flow. A small term breaks ties by the hash of the flow and the target, which all
+// flow, plus a penalty. A small term breaks ties by the hash of the flow and the target, which all
 // balancers compute alike.
-func (d *Dispatcher) expectedLoad(now time.Time, t *Target, flowHash uint64) float64 {
+func (d *Dispatcher) expectedLoad(now time.Time, t *Target, flowHash uint64, penalty float64) float64 {
 	const tieBreakWeight = 1e-6
-	slots := float64(t.effectiveSlots)
+	load := (float64(t.inFlight+1)+t.idleFlowLoad)/t.usableSlots(now) + penalty
+	return load + tieBreakWeight/(1+state.RendezvousScore(flowHash, t.idHash, 1))
+}
+
+// usableSlots returns the number of slots of a target, reduced during its warm-up.
+func (t *Target) usableSlots(now time.Time) float64 {
 	if now.Before(t.warmupUntil) {
-		slots *= warmupSlotRatio
-	}
-	load := (float64(t.inFlight+1) + t.idleFlowLoad) / slots
-	if t.Place != d.options.Place {
-		load += remoteLoadPenalty
+		return warmupSlotRatio * float64(t.effectiveSlots)
 	}
-	return load + tieBreakWeight/(1+state.RendezvousScore(flowHash, t.idHash, 1))
+	return float64(t.effectiveSlots)
 }
--- /dev/null
+++ b/internal/coordination/dsr/crossplace.go
@@ -0,0 +1,335 @@
+package dsr
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Placement of new flows across places, see docs/design/cross-place.md. For each service, a
+// balancer estimates the load of the targets of its place, and sends a share of its new flows to
+// other places when the load is high and requests there are answered sooner than in its own.
+
+const (
+	// localLoadFloor is the expected load per slot of a place below which all its flows stay.
+	// Least-loaded placement leaves hardly any queue at this load.
+	localLoadFloor = 2.0 / 3
+	// localLoadCeiling is the load at which every flow may leave. The share grows linearly in
+	// between, so a place with three times its capacity in demand settles at 1.1 requests per slot.
+	localLoadCeiling = 4.0 / 3
+	// loadSamplesPerSlot determines the time over which the load is smoothed: this many seconds
+	// divided by the balancer's share of the slots. The standard deviation of the estimate is then
+	// about a quarter of its value for requests of 55 ms.
+	loadSamplesPerSlot = 2.7
+	minLoadSmoothing   = 250 * time.Millisecond
+	maxLoadSmoothing   = 8 * time.Second
+	// gainFloor is the relative saving of response time, including the network, up to which a
+	// place gets no flows. Averages of twenty responses differ by a tenth without cause.
+	// From gainCeiling on, the place gets its full part.
+	gainFloor   = 0.1
+	gainCeiling = 0.35
+	// minGain keeps a few flows going to a place that does not save time at present, because its
+	// load cannot be seen otherwise.
+	minGain = 0.02
+	// responseMaxAge is the age from which the response times of a place say nothing about it.
+	responseMaxAge = 10 * time.Second
+	// unansweredSmoothingFactor is the weight of one opener in remotePlace.unansweredShare. Above
+	// maxUnansweredShare, after four unanswered openers in a row, the place counts as cut off.
+	unansweredSmoothingFactor = 0.1
+	maxUnansweredShare        = 0.3
+	// placeTrialInterval is the time between two flows to a place that counts as cut off.
+	placeTrialInterval = 2 * time.Second
+	// sharingBeganShare and sharingEndedShare are the shares of flows at which the events are recorded,
+	// the second one once the share has stayed below it for sharingEndDelay.
+	sharingBeganShare = 0.02
+	sharingEndedShare = 0.005
+	sharingEndDelay   = 5 * time.Second
+	// otherPlacePenalty exceeds the load of any target of the place that was selected for a flow.
+	// It is lower than unprovenLoadPenalty.
+	otherPlacePenalty = 1e5
+)
+
+// Reasons why flows leave the place.
+const (
+	ShareReasonLoad      = "place-load"
+	ShareReasonNoTargets = "no-local-targets"
+)
+
+// PlaceShare is the share of the new flows of a service that leaves the place.
+type PlaceShare struct {
+	Share float64
+	// Load is the expected number of requests per slot of the place.
+	Load   float64
+	Reason string
+}
+
+// placeSharing determines which new flows of one service leave the place.
+type placeSharing struct {
+	load        float64
+	hasLoad     bool
+	localTime   responseAverage
+	remote      []*remotePlace // in order of names
+	share       float64
+	reason      string
+	isAnnounced bool // EventSharingBegan was recorded
+	lowSince    time.Time
+}
+
+// remotePlace is what a balancer knows about a service in another place.
+type remotePlace struct {
+	name            string
+	slots           float64
+	share           float64
+	responseTime    responseAverage
+	unansweredShare float64
+	nextTrialAt     time.Time
+}
+
+// responseAverage is a moving average of response times.
+type responseAverage struct {
+	seconds  float64
+	latestAt time.Time
+}
+
+func (a *responseAverage) add(now time.Time, responseTime time.Duration) {
+	if a.isStale(now) {
+		a.seconds = responseTime.Seconds()
+	}
+	a.seconds += responseSmoothingFactor * (responseTime.Seconds() - a.seconds)
+	a.latestAt = now
+}
+
+func (a *responseAverage) isStale(now time.Time) bool { return now.Sub(a.latestAt) > responseMaxAge }
+
+// placeCapacity is the capacity and the load of a service in one place, as this balancer sees it.
+type placeCapacity struct{ slots, load float64 }
+
+// update recomputes the shares. capacities holds the places with usable targets, balancers is the
+// number of balancers of the place.
+func (s *placeSharing) update(now time.Time, elapsed time.Duration, local string, capacities map[string]placeCapacity, balancers int) {
+	s.updateRemote(local, capacities)
+	home := capacities[local]
+	s.updateLoad(elapsed, home, float64(max(balancers, 1)))
+	s.reason = ShareReasonLoad
+	wanted := min(max((s.load-localLoadFloor)/(localLoadCeiling-localLoadFloor), 0), 1)
+	if home.slots == 0 {
+		s.reason, wanted = ShareReasonNoTargets, 1
+	}
+	remoteSlots := 0.0
+	for _, p := range s.remote {
+		remoteSlots += p.slots
+	}
+	s.share = 0
+	for _, p := range s.remote {
+		p.share = wanted * p.slots / remoteSlots
+		if home.slots > 0 {
+			p.share *= s.gain(now, p)
+		}
+		s.share += p.share
+	}
+}
+
+// updateRemote updates the list of the other places.
+func (s *placeSharing) updateRemote(local string, capacities map[string]placeCapacity) {
+	s.remote = slices.DeleteFunc(s.remote, func(p *remotePlace) bool { return capacities[p.name].slots == 0 })
+	for name, c := range capacities {
+		if name == local {
+			continue
+		}
+		i, found := slices.BinarySearchFunc(s.remote, name, func(p *remotePlace, name string) int { return cmp.Compare(p.name, name) })
+		if !found {
+			s.remote = slices.Insert(s.remote, i, &remotePlace{name: name})
+		}
+		s.remote[i].slots = c.slots
+	}
+}
+
+// updateLoad updates the load of the place from the requests of this balancer. The load is
+// limited, so that flows return as soon as a queue has been served.
+func (s *placeSharing) updateLoad(elapsed time.Duration, home placeCapacity, balancers float64) {
+	if home.slots == 0 {
+		s.load, s.hasLoad = 0, false
+		return
+	}
+	load := home.load * balancers / home.slots
+	smoothing := min(max(loadSamplesPerSlot*balancers/home.slots, minLoadSmoothing.Seconds()), maxLoadSmoothing.Seconds())
+	if s.hasLoad {
+		load = s.load + (1-math.Exp(-max(elapsed.Seconds(), 0)/smoothing))*(load-s.load)
+	}
+	s.load, s.hasLoad = min(load, localLoadCeiling), true
+}
+
+// gain returns the part of the wanted flows that a place gets, by the time that responses from there save.
+// A place without recent responses gets all, because most often it has capacity.
+func (s *placeSharing) gain(now time.Time, p *remotePlace) float64 {
+	if s.localTime.isStale(now) || p.responseTime.isStale(now) {
+		return 1
+	}
+	saving := 1 - p.responseTime.seconds/s.localTime.seconds
+	return min(max((saving-gainFloor)/(gainCeiling-gainFloor), minGain), 1)
+}
+
+// destination returns the place for a new flow. The hash of the flow determines it, so that copies
+// of the opener tend to go to the same place.
+func (s *placeSharing) destination(now time.Time, local string, flowHash uint64) string {
+	if s.share == 0 {
+		return local
+	}
+	// orderBackends uses the upper bits of the hash for the service.
+	position := float64(flowHash*0x9e3779b97f4a7c15>>11) / (1 << 53)
+	if position >= s.share {
+		return local
+	}
+	for i, p := range s.remote {
+		if position < p.share || i == len(s.remote)-1 {
+			return s.reachable(now, local, i)
+		}
+		position -= p.share
+	}
+	return local
+}
+
+// reachable returns the place with an index, or the next one that is not cut off.
+func (s *placeSharing) reachable(now time.Time, local string, index int) string {
+	for i := range s.remote {
+		p := s.remote[(index+i)%len(s.remote)]
+		if p.unansweredShare <= maxUnansweredShare {
+			return p.name
+		}
+		if !now.Before(p.nextTrialAt) {
+			p.nextTrialAt = now.Add(placeTrialInterval)
+			return p.name
+		}
+	}
+	return local
+}
+
+// recordResponse records the response time of a target in a place.
+func (s *placeSharing) recordResponse(now time.Time, place, local string, responseTime time.Duration) {
+	if place == local {
+		s.localTime.add(now, responseTime)
+	} else if p := s.remotePlace(place); p != nil {
+		p.responseTime.add(now, responseTime)
+	}
+}
+
+// recordOpener records whether an opener was answered from another place.
+func (s *placeSharing) recordOpener(now time.Time, place string, answered bool) {
+	p := s.remotePlace(place)
+	switch {
+	case p == nil:
+	case answered && p.unansweredShare > maxUnansweredShare:
+		p.unansweredShare = 0
+	case answered:
+		p.unansweredShare *= 1 - unansweredSmoothingFactor
+	default:
+		wasReachable := p.unansweredShare <= maxUnansweredShare
+		p.unansweredShare += unansweredSmoothingFactor * (1 - p.unansweredShare)
+		if wasReachable {
+			p.nextTrialAt = now.Add(placeTrialInterval)
+		}
+	}
+}
+
+func (s *placeSharing) remotePlace(name string) *remotePlace {
+	for _, p := range s.remote {
+		if p.name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// eventDue returns the kind of the event to record after an update, empty for none.
+func (s *placeSharing) eventDue(now time.Time) EventKind {
+	if s.share >= sharingEndedShare {
+		s.lowSince = time.Time{}
+	} else if s.lowSince.IsZero() {
+		s.lowSince = now
+	}
+	switch {
+	case !s.isAnnounced && s.share >= sharingBeganShare:
+		s.isAnnounced = true
+		return EventSharingBegan
+	case s.isAnnounced && !s.lowSince.IsZero() && now.Sub(s.lowSince) >= sharingEndDelay:
+		s.isAnnounced = false
+		return EventSharingEnded
+	}
+	return ""
+}
+
+// updateSharing recomputes the shares of all services.
+func (d *Dispatcher) updateSharing(now time.Time, elapsed time.Duration) {
+	if !d.options.CrossPlace {
+		return
+	}
+	for service := range d.sharing {
+		if len(d.targets.byService[service]) == 0 {
+			delete(d.sharing, service)
+		}
+	}
+	for service, targets := range d.targets.byService {
+		s := d.sharing[service]
+		if s == nil {
+			s = &placeSharing{}
+			d.sharing[service] = s
+		}
+		s.update(now, elapsed, d.options.Place, placeCapacities(now, targets), d.placeBalancerCount)
+		if kind := s.eventDue(now); kind != "" {
+			d.events = append(d.events, Event{Kind: kind, Service: service, Sharing: s.summary()})
+		}
+	}
+}
+
+func (s *placeSharing) summary() PlaceShare {
+	return PlaceShare{Share: s.share, Load: s.load, Reason: s.reason}
+}
+
+// placeCapacities returns the capacity and load of the targets of a service that take new flows and
+// are not suspected, by place.
+func placeCapacities(now time.Time, targets []*Target) map[string]placeCapacity {
+	capacities := make(map[string]placeCapacity)
+	for _, t := range targets {
+		if !t.acceptsNewFlows() || t.health.suspected() {
+			continue
+		}
+		c := capacities[t.Place]
+		c.slots += t.usableSlots(now)
+		c.load += float64(t.inFlight) + t.idleFlowLoad
+		capacities[t.Place] = c
+	}
+	return capacities
+}
+
+// recordPlaceResponse records the response time of a target for the choice of places. Responses
+// that are as fast as those of a full queue, and those of a time in which the process may not have
+// run, are left out.
+func (d *Dispatcher) recordPlaceResponse(now time.Time, t *Target, r *Route, startedAt time.Time) {
+	s := d.sharing[t.Service]
+	responseTime := now.Sub(startedAt)
+	if s == nil || startedAt.Before(d.resumedAt) || now.Sub(d.lastTickAt) > maxTickAge {
+		return
+	}
+	if responseTime-d.loads[t.Service].RoundTripTime < time.Duration(shedBudgetShare*responseBudgetShare*float64(r.LatencyTarget)) {
+		return
+	}
+	s.recordResponse(now, t.Place, d.options.Place, responseTime)
+}
+
+// recordPlaceOpener records whether a target answered an opener.
+func (d *Dispatcher) recordPlaceOpener(now time.Time, t *Target, answered bool) {
+	if s := d.sharing[t.Service]; s != nil && t.Place != d.options.Place {
+		s.recordOpener(now, t.Place, answered)
+	}
+}
+
+// placeForFlow returns the place whose targets a new flow of a service prefers, and the penalty of
+// the targets of other places.
+func (d *Dispatcher) placeForFlow(now time.Time, service string, flowHash uint64, isCopy bool) (place string, penalty float64) {
+	s := d.sharing[service]
+	if s == nil || isCopy {
+		return d.options.Place, remoteLoadPenalty
+	}
+	return s.destination(now, d.options.Place, flowHash), otherPlacePenalty
+}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -22,6 +22,8 @@
 	// domains.
 	Place      string
 	PlaceCount int
+	// CrossPlace is set if flows may leave the place when its targets have too little capacity.
+	CrossPlace bool
 	// MaxFlowLifetime is the longest lifetime of a flow.
 	MaxFlowLifetime time.Duration
 	// FlowCapacity is the maximum number of entries in the flow table.
@@ -52,6 +54,8 @@
 	loss                 lossEstimator
 	// loads holds the load of each service that has answered, by service name.
 	loads map[string]Load
+	// sharing holds the placement across places by service, empty without Options.CrossPlace.
+	sharing map[string]*placeSharing
 	// placeBalancerCount is the number of balancers in this balancer's place, 0 while unknown.
 	placeBalancerCount int
 	lastTickAt         time.Time
@@ -76,6 +80,7 @@
 		routes:        routes,
 		targets:       newRegistry(o.MaxFlowLifetime, routes.namesService),
 		loads:         make(map[string]Load),
+		sharing:       make(map[string]*placeSharing),
 		flows:         make(map[protocol.FlowKey]*flow),
 		unroutedFlows: make(map[protocol.FlowKey]*unroutedFlow),
 		readyCh:       make(chan struct{}),
@@ -190,6 +195,8 @@
 	TargetsDigest Digest
 	// LossShare is the estimated loss rate of packets.
 	LossShare float64
+	// Sharing holds the services of which flows leave the place.
+	Sharing map[string]PlaceShare `json:",omitempty"`
 }
 
 // Gauges returns the current values of the dispatcher's state.
@@ -197,6 +204,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate()}
+	for service, s := range d.sharing {
+		if s.isAnnounced {
+			if g.Sharing == nil {
+				g.Sharing = make(map[string]PlaceShare)
+			}
+			g.Sharing[service] = s.summary()
+		}
+	}
 	for _, targets := range d.targets.byService {
 		for _, t := range targets {
 			g.Targets++
@@ -285,6 +300,7 @@
 		return Decision{Action: ActionReset, Reason: f.refusalReason, Route: route}
 	}
 	f.openerRetransmitted = true
+	d.recordPlaceOpener(now, f.target, false)
 	d.recordUnansweredOpener(now, f)
 	failures := f.target.health.failureSummary(now)
 	accepts := f.target.acceptsNewFlows() && route.hasBackend(f.target.Service)
@@ -348,6 +364,7 @@
 	retransmitted := f.recordPacket(now, p)
 	if completesHandshake {
 		d.recordHandshake(now, t, f.openedAt)
+		d.recordPlaceOpener(now, t, true)
 	}
 	if len(f.tried) > 0 {
 		d.recordSilentTargets(now, f)
@@ -361,6 +378,7 @@
 	if hadRequest && f.responseAcked {
 		forward.ResponseTime = now.Sub(requestStartedAt)
 		d.recordResponse(now, t, route, requestStartedAt)
+		d.recordPlaceResponse(now, t, route, requestStartedAt)
 	}
 	if retransmitted {
 		d.recordUnanswered(now, f, t, f.lastSentAt)
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -16,9 +16,13 @@
 	EventTargetFull      EventKind = "target-full"
 	EventOverloadBegan   EventKind = "overload-began"
 	EventOverloadEnded   EventKind = "overload-ended"
-	EventListingIgnored  EventKind = "listing-ignored"
-	EventRoutesAdopted   EventKind = "routes-adopted"
-	EventRoutesIgnored   EventKind = "routes-ignored"
+	// EventSharingBegan and EventSharingEnded mean that flows of a service leave the place, or no
+	// longer do.
+	EventSharingBegan   EventKind = "sharing-began"
+	EventSharingEnded   EventKind = "sharing-ended"
+	EventListingIgnored EventKind = "listing-ignored"
+	EventRoutesAdopted  EventKind = "routes-adopted"
+	EventRoutesIgnored  EventKind = "routes-ignored"
 	// EventRoutesCorrected means that the store had other routes of the same version than
 	// another balancer had sent.
 	EventRoutesCorrected EventKind = "routes-corrected"
@@ -53,6 +57,8 @@
 	// Service and Load are set for events about an overloaded service.
 	Service string
 	Load    Load
+	// Sharing is set for events about flows that leave the place.
+	Sharing PlaceShare
 
 	target *Target
 }
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -234,4 +234,5 @@
 			r.usage.activeRatio += activeRatioSmoothingFactor * (float64(r.usage.inFlight)/float64(r.usage.openFlows) - r.usage.activeRatio)
 		}
 	}
+	d.updateSharing(now, elapsed)
 }
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -58,7 +58,9 @@
 		if e.Target.ID != "" {
 			keyvals = append(keyvals, "target", e.Target.ID, "address", e.Target.Endpoint, "pool", e.Target.Service)
 		}
-		if e.Service != "" {
+		if e.Sharing.Reason != "" {
+			keyvals = append(keyvals, "pool", e.Service, "share", roundToHundredths(e.Sharing.Share), "load", roundToHundredths(e.Sharing.Load), "reason", e.Sharing.Reason)
+		} else if e.Service != "" {
 			keyvals = append(keyvals, "pool", e.Service, "slow", roundToHundredths(e.Load.SlowShare), "rate", roundToHundredths(e.Load.ResponseRate), "running", e.Load.InFlight, "limit", roundToHundredths(e.Load.Limit))
 		}
 		keyvals = append(keyvals, failureKeyvals(e.Failures)...)
