--- a/internal/coordination/dsr/crossplace.go
+++ b/internal/coordination/dsr/crossplace.go
@@ -31,9 +31,16 @@
 	gainCeiling = 0.35
 	// minGain keeps a few flows going to a place that does not save time at present, because its
 	// load cannot be seen otherwise.
-	minGain = 0.02
+	minGain = 0.05
 	// responseMaxAge is the age from which the response times of a place say nothing about it.
 	responseMaxAge = 10 * time.Second
+	// responseMemory limits the weight of earlier responses where there are few.
+	responseMemory = 2 * time.Second
+	// unloadedSmoothingFactor is the weight of one response in the average whose minimum is the
+	// response time without a queue. The minimum of a faster average would be too low by chance.
+	unloadedSmoothingFactor = 0.01
+	// unloadedDrift is the time in which that minimum approaches a response time that has become longer.
+	unloadedDrift = 10 * time.Minute
 	// unansweredSmoothingFactor is the weight of one opener in remotePlace.unansweredShare. Above
 	// maxUnansweredShare, after four unanswered openers in a row, the place counts as cut off.
 	unansweredSmoothingFactor = 0.1
@@ -66,14 +73,17 @@
 
 // placeSharing determines which new flows of one service leave the place.
 type placeSharing struct {
-	load        float64
-	hasLoad     bool
-	localTime   responseAverage
-	remote      []*remotePlace // in order of names
-	share       float64
-	reason      string
-	isAnnounced bool // EventSharingBegan was recorded
-	lowSince    time.Time
+	load      float64
+	hasLoad   bool
+	localTime responseAverage
+	// slowLocalTime is a slow average of the local response times in seconds, unloadedTime its recent minimum.
+	slowLocalTime float64
+	unloadedTime  float64
+	remote        []*remotePlace // in order of names
+	share         float64
+	reason        string
+	isAnnounced   bool // EventSharingBegan was recorded
+	lowSince      time.Time
 }
 
 // remotePlace is what a balancer knows about a service in another place.
@@ -93,10 +103,11 @@
 }
 
 func (a *responseAverage) add(now time.Time, responseTime time.Duration) {
-	if a.isStale(now) {
-		a.seconds = responseTime.Seconds()
+	weight := 1.0
+	if !a.isStale(now) {
+		weight = max(responseSmoothingFactor, 1-math.Exp(-now.Sub(a.latestAt).Seconds()/responseMemory.Seconds()))
 	}
-	a.seconds += responseSmoothingFactor * (responseTime.Seconds() - a.seconds)
+	a.seconds += weight * (responseTime.Seconds() - a.seconds)
 	a.latestAt = now
 }
 
@@ -111,6 +122,9 @@
 	s.updateRemote(local, capacities)
 	home := capacities[local]
 	s.updateLoad(elapsed, home, float64(max(balancers, 1)))
+	if s.slowLocalTime > 0 {
+		s.unloadedTime += max(elapsed.Seconds(), 0) / unloadedDrift.Seconds() * (s.slowLocalTime - s.unloadedTime)
+	}
 	s.reason = ShareReasonLoad
 	wanted := min(max((s.load-localLoadFloor)/(localLoadCeiling-localLoadFloor), 0), 1)
 	if home.slots == 0 {
@@ -161,12 +175,16 @@
 }
 
 // gain returns the part of the wanted flows that a place gets, by the time that responses from there save.
-// A place without recent responses gets all, because most often it has capacity.
+// A place without recent responses counts as having no queue.
 func (s *placeSharing) gain(now time.Time, p *remotePlace) float64 {
-	if s.localTime.isStale(now) || p.responseTime.isStale(now) {
+	if s.localTime.isStale(now) {
 		return 1
 	}
-	saving := 1 - p.responseTime.seconds/s.localTime.seconds
+	remoteTime := s.unloadedTime
+	if !p.responseTime.isStale(now) {
+		remoteTime = p.responseTime.seconds
+	}
+	saving := 1 - remoteTime/s.localTime.seconds
 	return min(max((saving-gainFloor)/(gainCeiling-gainFloor), minGain), 1)
 }
 
@@ -209,11 +227,21 @@
 func (s *placeSharing) recordResponse(now time.Time, place, local string, responseTime time.Duration) {
 	if place == local {
 		s.localTime.add(now, responseTime)
+		s.recordUnloaded(responseTime.Seconds())
 	} else if p := s.remotePlace(place); p != nil {
 		p.responseTime.add(now, responseTime)
 	}
 }
 
+// recordUnloaded updates the response time without a queue from a local response.
+func (s *placeSharing) recordUnloaded(seconds float64) {
+	if s.slowLocalTime == 0 {
+		s.slowLocalTime, s.unloadedTime = seconds, math.Inf(1)
+	}
+	s.slowLocalTime += unloadedSmoothingFactor * (seconds - s.slowLocalTime)
+	s.unloadedTime = min(s.unloadedTime, s.slowLocalTime)
+}
+
 // recordOpener records whether an opener was answered from another place.
 func (s *placeSharing) recordOpener(now time.Time, place string, answered bool) {
 	p := s.remotePlace(place)
--- a/internal/coordination/dsr/crossplace_test.go
+++ b/internal/coordination/dsr/crossplace_test.go
@@ -282,15 +282,15 @@
 		}
 	}
 	return []regionScenario{
-		{"40/40", [3]float64{0.4, 0.4, 0.4}, nil},
-		{"80/40", [3]float64{0.8, 0.4, 0.4}, nil},
-		{"130/40", [3]float64{1.3, 0.4, 0.4}, nil},
-		{"40/110", [3]float64{0.4, 1.1, 1.1}, nil},
-		{"80/110", [3]float64{0.8, 1.1, 1.1}, nil},
-		{"130/110", [3]float64{1.3, 1.1, 1.1}, nil},
+		{"40-40", [3]float64{0.4, 0.4, 0.4}, nil},
+		{"80-40", [3]float64{0.8, 0.4, 0.4}, nil},
+		{"130-40", [3]float64{1.3, 0.4, 0.4}, nil},
+		{"40-110", [3]float64{0.4, 1.1, 1.1}, nil},
+		{"80-110", [3]float64{0.8, 1.1, 1.1}, nil},
+		{"130-110", [3]float64{1.3, 1.1, 1.1}, nil},
 		{"burst", [3]float64{0.4, 0.4, 0.4}, burst},
-		{"third gone", [3]float64{0.8, 0.4, 0.4}, loseTargets},
-		{"130 cut", [3]float64{1.3, 0.4, 0.4}, func(r *region) { r.cutOff = true }},
+		{"third-gone", [3]float64{0.8, 0.4, 0.4}, loseTargets},
+		{"130-cut", [3]float64{1.3, 0.4, 0.4}, func(r *region) { r.cutOff = true }},
 	}
 }
 
@@ -337,13 +337,13 @@
 func TestFlowsLeaveFullPlaces(t *testing.T) {
 	for _, sc := range regionScenarios() {
 		t.Run(sc.name, func(t *testing.T) {
-			if sc.name != "130/40" && sc.name != "40/40" {
+			if sc.name != "130-40" && sc.name != "40-40" {
 				return
 			}
 			present, shared := sc.run(7, false).stats, sc.run(7, true).stats
 			t.Logf("today %v; %v", present[0], present[1])
 			t.Logf("shared %v; %v", shared[0], shared[1])
-			if sc.name == "40/40" {
+			if sc.name == "40-40" {
 				assert.Assert(t, 100*shared[0].left <= 2*shared[0].flows)
 				return
 			}
