--- a/internal/coordination/dsr/crossplace.go
+++ b/internal/coordination/dsr/crossplace.go
@@ -31,7 +31,11 @@
 	gainCeiling = 0.35
 	// minGain keeps a few flows going to a place that does not save time at present, because its
 	// load cannot be seen otherwise.
-	minGain = 0.05
+	minGain = 0.02
+	// A place gets its full part while responses from there take less than fullHeadroom times as long as
+	// without a queue, and none from noHeadroom on: its slots are all in use then, however long the local queues are.
+	fullHeadroom = 2
+	noHeadroom   = 3
 	// responseMaxAge is the age from which the response times of a place say nothing about it.
 	responseMaxAge = 10 * time.Second
 	// responseMemory limits the weight of earlier responses where there are few.
@@ -39,6 +43,9 @@
 	// unloadedSmoothingFactor is the weight of one response in the average whose minimum is the
 	// response time without a queue. The minimum of a faster average would be too low by chance.
 	unloadedSmoothingFactor = 0.01
+	// minUnloadedSamples is the number of responses from which that average counts. A single one may be
+	// half as long as the mean.
+	minUnloadedSamples = 20
 	// unloadedDrift is the time in which that minimum approaches a response time that has become longer.
 	unloadedDrift = 10 * time.Minute
 	// unansweredSmoothingFactor is the weight of one opener in remotePlace.unansweredShare. Above
@@ -79,6 +86,7 @@
 	// slowLocalTime is a slow average of the local response times in seconds, unloadedTime its recent minimum.
 	slowLocalTime float64
 	unloadedTime  float64
+	localSamples  int
 	remote        []*remotePlace // in order of names
 	share         float64
 	reason        string
@@ -122,7 +130,7 @@
 	s.updateRemote(local, capacities)
 	home := capacities[local]
 	s.updateLoad(elapsed, home, float64(max(balancers, 1)))
-	if s.slowLocalTime > 0 {
+	if s.localSamples > 0 {
 		s.unloadedTime += max(elapsed.Seconds(), 0) / unloadedDrift.Seconds() * (s.slowLocalTime - s.unloadedTime)
 	}
 	s.reason = ShareReasonLoad
@@ -185,7 +193,8 @@
 		remoteTime = p.responseTime.seconds
 	}
 	saving := 1 - remoteTime/s.localTime.seconds
-	return min(max((saving-gainFloor)/(gainCeiling-gainFloor), minGain), 1)
+	headroom := (noHeadroom - remoteTime/s.unloadedTime) / (noHeadroom - fullHeadroom)
+	return min(max(min((saving-gainFloor)/(gainCeiling-gainFloor), headroom), minGain), 1)
 }
 
 // destination returns the place for a new flow. The hash of the flow determines it, so that copies
@@ -235,10 +244,11 @@
 
 // recordUnloaded updates the response time without a queue from a local response.
 func (s *placeSharing) recordUnloaded(seconds float64) {
-	if s.slowLocalTime == 0 {
-		s.slowLocalTime, s.unloadedTime = seconds, math.Inf(1)
+	s.localSamples++
+	s.slowLocalTime += max(unloadedSmoothingFactor, 1/float64(s.localSamples)) * (seconds - s.slowLocalTime)
+	if s.localSamples <= minUnloadedSamples {
+		s.unloadedTime = s.slowLocalTime
 	}
-	s.slowLocalTime += unloadedSmoothingFactor * (seconds - s.slowLocalTime)
 	s.unloadedTime = min(s.unloadedTime, s.slowLocalTime)
 }
 
