--- a/internal/coordination/dsr/crossplace.go
+++ b/internal/coordination/dsr/crossplace.go
@@ -341,15 +341,15 @@
 }
 
 // recordPlaceResponse records the response time of a target for the choice of places. Responses
-// that are as fast as those of a full queue, and those of a time in which the process may not have
-// run, are left out.
+// that are as fast as those of a full queue, those without a duration, by which the averages would be
+// divided, and those of a time in which the process may not have run are left out.
 func (d *Dispatcher) recordPlaceResponse(now time.Time, t *Target, r *Route, startedAt time.Time) {
 	s := d.sharing[t.Service]
 	responseTime := now.Sub(startedAt)
 	if s == nil || startedAt.Before(d.resumedAt) || now.Sub(d.lastTickAt) > maxTickAge {
 		return
 	}
-	if responseTime-d.loads[t.Service].RoundTripTime < time.Duration(shedBudgetShare*responseBudgetShare*float64(r.LatencyTarget)) {
+	if responseTime <= 0 || responseTime-d.loads[t.Service].RoundTripTime < time.Duration(shedBudgetShare*responseBudgetShare*float64(r.LatencyTarget)) {
 		return
 	}
 	s.recordResponse(now, t.Place, d.options.Place, responseTime)
