Evacuation of a place: decisions, feed, events and counters

The registry takes the set of evacuated places from a listing or a delta and keeps the places that known targets name. A change of the set advances the change sequence and is part of the digest, so that followers of followers receive it.

A late copy of the opener of an open flow is dropped if its target takes no new flows. It was forwarded before, also to draining targets.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -20,6 +20,8 @@
 	Targets []Announcement
 	// Gone holds the IDs of targets that are gone.
 	Gone []string
+	// EvacuatedPlaces holds all evacuated places that known targets name.
+	EvacuatedPlaces []string
 }
 
 // Summary describes how recent a balancer's routes and targets are.
@@ -73,7 +75,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.targets
-	delta := Delta{Epoch: g.epoch, ChangeSequence: g.changeSequence, Revision: g.revision}
+	delta := Delta{Epoch: g.epoch, ChangeSequence: g.changeSequence, Revision: g.revision, EvacuatedPlaces: g.evacuatedPlaces()}
 	delta.Full = epoch != g.epoch || afterSequence < g.evictedSequence || afterSequence > g.changeSequence
 	for id, t := range g.byID {
 		switch {
@@ -114,6 +116,7 @@
 		}
 	}
 	g.evictExpired(now)
+	events = append(events, g.applyEvacuations(now, placeSet(delta.EvacuatedPlaces))...)
 	g.rebuildIndex()
 	return true, events
 }
--- a/internal/coordination/dsr/digest.go
+++ b/internal/coordination/dsr/digest.go
@@ -54,12 +54,13 @@
 	return xxhash.Sum64(b)
 }
 
-// digest returns a hash of the targets that are not gone, by which balancers compare them.
+// digest returns a hash of the targets that are not gone and of which of them are evacuated, by
+// which balancers compare them.
 func (g *registry) digest() Digest {
 	var sum uint64
 	for _, t := range g.byID {
 		if t.goneAt.IsZero() {
-			sum += t.contentHash
+			sum += t.evacuationHash()
 		}
 	}
 	return Digest(sum)
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -258,6 +258,9 @@
 		return Decision{Action: ActionReset, Reason: ReasonNoRoute}
 	}
 	f := d.flows[p.Flow]
+	if f != nil && f.openerSeq == p.Seq && f.established && !f.target.acceptsNewFlows() {
+		return Decision{Reason: ReasonNoTargetForCopy, Route: route} // the flow does not need the copy
+	}
 	if f != nil && f.openerSeq == p.Seq && f.established {
 		return Decision{Action: ActionForward, Reason: ReasonRepeatedOpener, target: f.target, Route: route}
 	}
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -14,6 +14,8 @@
 	EventTargetSuspected EventKind = "target-suspected"
 	EventTargetAlive     EventKind = "target-alive"
 	EventTargetFull      EventKind = "target-full"
+	EventPlaceEvacuated  EventKind = "place-evacuated"
+	EventPlaceReturned   EventKind = "place-returned"
 	EventOverloadBegan   EventKind = "overload-began"
 	EventOverloadEnded   EventKind = "overload-ended"
 	// EventSharingBegan and EventSharingEnded mean that flows of a service leave the place, or no
@@ -54,6 +56,8 @@
 	PreviousAsOf time.Time
 	// Failures is set for events about a target that left packets unanswered.
 	Failures FailureSummary
+	// Place is set for events about an evacuated place.
+	Place string
 	// Service and Load are set for events about an overloaded service.
 	Service string
 	Load    Load
--- a/internal/coordination/dsr/harness_test.go
+++ b/internal/coordination/dsr/harness_test.go
@@ -19,7 +19,9 @@
 	now      time.Time
 	revision uint64
 	targets  []Announcement
-	nextPort uint16
+	// evacuated holds the evacuated places.
+	evacuated []string
+	nextPort  uint16
 }
 
 // newTestBalancer returns a balancer in place a that has run long enough to estimate the
@@ -84,7 +86,7 @@
 // publishListing applies a listing of the current targets with the next revision.
 func (b *testBalancer) publishListing() {
 	b.revision++
-	b.d.ApplyListing(b.now, Listing{Targets: append([]Announcement(nil), b.targets...), Revision: b.revision})
+	b.d.ApplyListing(b.now, Listing{Targets: append([]Announcement(nil), b.targets...), EvacuatedPlaces: placeSet(b.evacuated), Revision: b.revision})
 	b.d.ConfirmRead(b.now)
 }
 
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -35,6 +35,9 @@
 // Listing is a complete list of the announcements, as read from the store.
 type Listing struct {
 	Targets []Announcement
+	// EvacuatedPlaces holds the places whose targets get no new flows. It is only read, and not
+	// kept.
+	EvacuatedPlaces map[string]bool
 	// Revision is the lowest store revision that the list may reflect.
 	Revision uint64
 	// ReadAt is when the read of the list was begun, zero if its response may be the copy of an
@@ -84,6 +87,8 @@
 	// missingSince is when a listing first lacked the target, zero if it is not missing.
 	missingSince time.Time
 	warmupUntil  time.Time
+	// evacuated is set while the target's place is evacuated.
+	evacuated bool
 	// changeSequence is the registry's sequence number of the target's last change that
 	// followers need to know.
 	changeSequence uint64
@@ -102,8 +107,9 @@
 	lastFullAt time.Time
 }
 
-// acceptsNewFlows reports whether the target is neither gone nor draining.
-func (t *Target) acceptsNewFlows() bool { return t.goneAt.IsZero() && !t.Draining }
+// acceptsNewFlows reports whether the target is neither gone nor draining, and its place is not
+// evacuated.
+func (t *Target) acceptsNewFlows() bool { return t.goneAt.IsZero() && !t.Draining && !t.evacuated }
 
 // KnownTarget is a target that a balancer knows and has not marked as gone.
 type KnownTarget struct {
@@ -151,6 +157,9 @@
 	// revisionRaisedAt is when another balancer last raised revision, zero if the store did.
 	revisionRaisedAt time.Time
 
+	// evacuatedSince holds the evacuated places that known targets name, with the time at which
+	// this balancer applied the evacuation.
+	evacuatedSince map[string]time.Time
 	// contentDigest is the digest of the targets that are not gone.
 	contentDigest Digest
 	// listings counts the listings that were applied.
@@ -183,6 +192,7 @@
 		byToken:          make(map[Token]*Target),
 		byService:        make(map[string][]*Target),
 		latestByEndpoint: make(map[protocol.Endpoint]*Target),
+		evacuatedSince:   make(map[string]time.Time),
 		lastFirstTrials:  make(map[string]time.Time),
 		epoch:            1 + uint64(rand.Uint32()),
 		tokenRetention:   maxFlowLifetime + tokenRetentionMargin,
@@ -223,8 +233,10 @@
 	gone, keptUntil := g.markMissingGone(now, present)
 	g.keepsMissing = !keptUntil.IsZero()
 	g.evictExpired(now)
+	events = append(events, gone...)
+	events = append(events, g.applyEvacuations(now, l.EvacuatedPlaces)...)
 	g.rebuildIndex()
-	return append(events, gone...), keptUntil
+	return events, keptUntil
 }
 
 // confirm records that the data matched the store at the given time.
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -58,6 +58,9 @@
 		if e.Target.ID != "" {
 			keyvals = append(keyvals, "target", e.Target.ID, "address", e.Target.Endpoint, "pool", e.Target.Service)
 		}
+		if e.Place != "" {
+			keyvals = append(keyvals, "target_place", e.Place)
+		}
 		if e.Sharing.Reason != "" {
 			keyvals = append(keyvals, "pool", e.Service, "share", roundToHundredths(e.Sharing.Share), "load", roundToHundredths(e.Sharing.Load), "reason", e.Sharing.Reason)
 		} else if e.Service != "" {
--- a/internal/transport/direct/stats.go
+++ b/internal/transport/direct/stats.go
@@ -39,6 +39,7 @@
 	vars := new(expvar.Map)
 	vars.Set("packets", n.stats.counters)
 	vars.Set("state", expvar.Func(func() any { return n.options.Dispatcher.Gauges() }))
+	vars.Set("evacuations", expvar.Func(func() any { return n.options.Dispatcher.Evacuations() }))
 	vars.Set("handling_us", n.stats.handlingTime)
 	vars.Set("answer_us", n.stats.responseTime)
 	return vars
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -100,6 +100,8 @@
 		Revision: d.Revision,
 		Full:     d.Full,
 		Gone:     d.Gone,
+		// The field is unset without evacuations, as in messages of versions that lack it.
+		EvacuatedPlaces: d.EvacuatedPlaces,
 	}
 	for _, a := range d.Targets {
 		response.Targets = append(response.Targets, &wire.FeedTarget{
@@ -127,6 +129,8 @@
 		Revision:       response.GetRevision(),
 		Full:           response.GetFull(),
 		Gone:           response.GetGone(),
+		// Any names are harmless: the dispatcher keeps those that targets name as their place.
+		EvacuatedPlaces: response.GetEvacuatedPlaces(),
 	}
 	for _, t := range response.GetTargets() {
 		address, err := decodeEndpoint(t.GetIp(), t.GetPort())
--- a/internal/transport/feed/fuzz_test.go
+++ b/internal/transport/feed/fuzz_test.go
@@ -22,8 +22,8 @@
 	}}})
 	assert.NilError(f, err)
 	targets, err := proto.Marshal(&wire.FeedTargetsResponse{Epoch: 1, Change: 1, Revision: 1, Full: true, Targets: []*wire.FeedTarget{{
-		Id: "i-1", Service: "web", Ip: []byte{10, 0, 0, 1}, Port: 80, Slots: 1, Revision: 1,
-	}}})
+		Id: "i-1", Service: "web", Ip: []byte{10, 0, 0, 1}, Port: 80, Slots: 1, Revision: 1, Place: "a",
+	}}, EvacuatedPlaces: []string{"a", "", "a/b"}})
 	assert.NilError(f, err)
 	f.Add(routes, targets, uint16(1))
 	f.Add([]byte{0xff}, []byte{0x2a, 0x00}, uint16(9))
