Admission: limit a service whose targets reject requests

With the contract pressure, rejections are recognized from responses that are much shorter than usual for their route, and their share sets a limit on in-flight requests. Without it, decisions are unchanged.

--- a/internal/coordination/dsr/admission.go
+++ b/internal/coordination/dsr/admission.go
@@ -77,6 +77,13 @@
 	// Slots is this balancer's share of the slots of the service.
 	Slots float64
 
+	// RejectedShare is the share of requests that targets rejected, and Reason what the limit
+	// follows from.
+	RejectedShare float64
+	Reason        LimitReason
+
+	// slowLimit is the limit that follows from slow responses, 0 for none.
+	slowLimit float64
 	// rttMeasured is set once RoundTripTime is known.
 	rttMeasured bool
 	// responses counts the responses since the last tick.
@@ -127,12 +134,18 @@
 	for service, l := range d.loads {
 		if len(d.targets.byService[service]) == 0 {
 			delete(d.loads, service)
+			delete(d.pressures, service)
 			continue
 		}
 		previousLimit := l.Limit
 		l.InFlight, l.Slots = d.inFlightAndSlots(service)
 		l.updateRate(elapsed)
-		l.Limit = l.nextLimit()
+		l.slowLimit = l.nextLimit()
+		l.Limit = l.slowLimit
+		if p := d.pressures[service]; p != nil {
+			p.update(elapsed, l.InFlight, l.Slots)
+			l.applyPressure(p)
+		}
 		d.loads[service] = l
 		switch {
 		case previousLimit == 0 && l.Limit > 0:
@@ -159,8 +172,8 @@
 // flight. Below minInFlightPerSlot requests for each of the balancer's slots, slots may
 // be free.
 func (l *Load) nextLimit() float64 {
-	sustained := l.SlowShare >= overloadExitSlowShare || float64(l.InFlight) >= sustainedLimitShare*l.Limit
-	if l.SlowShare < overloadEnterSlowShare && (l.Limit == 0 || !sustained) {
+	sustained := l.SlowShare >= overloadExitSlowShare || float64(l.InFlight) >= sustainedLimitShare*l.slowLimit
+	if l.SlowShare < overloadEnterSlowShare && (l.slowLimit == 0 || !sustained) {
 		return 0
 	}
 	return max(minInFlightPerSlot*l.Slots, l.ResponseRate*(l.ResponseBudget+2*l.RoundTripTime).Seconds())
@@ -194,8 +207,8 @@
 // overLimit reports whether a new flow of a route would exceed the limit of its service.
 // The returned Load holds the in-flight requests that count against the route and the
 // limit that applies to it. Requests of less urgent routes don't count.
-func (d *Dispatcher) overLimit(r *Route, flowHash uint64) (Load, bool) {
-	if r.usage.inFlight < minInFlightPerRoute || len(r.Backends) == 0 {
+func (d *Dispatcher) overLimit(r *Route, caller [4]byte, flowHash uint64) (Load, bool) {
+	if len(r.Backends) == 0 || r.usage.inFlight < minInFlightPerRoute && !d.options.LearnsFromRejections {
 		return Load{}, false
 	}
 	service := r.orderBackends(flowHash)[0].Service
@@ -203,6 +216,13 @@
 	if l.Limit == 0 {
 		return Load{}, false
 	}
+	minInFlight := minInFlightPerRoute
+	if l.Reason == LimitRejected {
+		minInFlight = 1
+	}
+	if r.usage.inFlight < minInFlight {
+		return Load{}, false
+	}
 	limit := l.Limit
 	l.InFlight = 0
 	for _, address := range d.routes.byService[service] {
@@ -211,13 +231,16 @@
 			l.InFlight += other.usage.inFlight
 		}
 		switch {
-		case other.usage.inFlight < minInFlightPerRoute:
+		case other.usage.inFlight < minInFlight:
 		case other.Priority < r.Priority:
 			limit = min(limit, max(minInFlightPerSlot*l.Slots, lessUrgentLimitShare*l.Limit))
 		case other.Priority > r.Priority:
-			limit = max(limit, urgentInFlightPerSlot*l.Slots)
+			limit = max(limit, l.urgentLimit())
 		}
 	}
+	if l.Reason == LimitRejected {
+		return d.overPressureLimit(l, limit, r, service, caller, flowHash)
+	}
 	l.Limit = limit
 	return l, float64(l.InFlight) >= limit
 }
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -32,6 +32,9 @@
 	// must be shorter than the time after which an outage counts as over, so that idle
 	// flows survive a network partition that has ended.
 	FailureHoldTime time.Duration
+	// LearnsFromRejections limits the admission of flows to services whose targets reject
+	// requests.
+	LearnsFromRejections bool
 }
 
 // defaultFlowCapacity is six times the number of flows per balancer at the fleet size
@@ -56,6 +59,8 @@
 	loads map[string]Load
 	// sharing holds the placement across places by service, empty without Options.CrossPlace.
 	sharing map[string]*placeSharing
+	// pressures holds the rejections of each service, by service name.
+	pressures map[string]*pressure
 	// placeBalancerCount is the number of balancers in this balancer's place, 0 while unknown.
 	placeBalancerCount int
 	lastTickAt         time.Time
@@ -81,6 +86,7 @@
 		targets:       newRegistry(o.MaxFlowLifetime, routes.namesService),
 		loads:         make(map[string]Load),
 		sharing:       make(map[string]*placeSharing),
+		pressures:     make(map[string]*pressure),
 		flows:         make(map[protocol.FlowKey]*flow),
 		unroutedFlows: make(map[protocol.FlowKey]*unroutedFlow),
 		readyCh:       make(chan struct{}),
@@ -197,6 +203,9 @@
 	LossShare float64
 	// Sharing holds the services of which flows leave the place.
 	Sharing map[string]PlaceShare `json:",omitempty"`
+	// Rejections is the number of requests that targets rejected, by service. It is nil
+	// unless rejections are recognized.
+	Rejections map[string]uint64 `json:",omitempty"`
 }
 
 // Gauges returns the current values of the dispatcher's state.
@@ -220,6 +229,12 @@
 			}
 		}
 	}
+	for service, p := range d.pressures {
+		if g.Rejections == nil {
+			g.Rejections = make(map[string]uint64)
+		}
+		g.Rejections[service] = p.totalRejections
+	}
 	return g
 }
 
@@ -270,7 +285,7 @@
 	if f != nil {
 		d.removeFlow(p.Flow, f) // the caller reused its port for a new flow
 	}
-	if load, overloaded := d.overLimit(route, state.FlowHash(p.Flow)); overloaded && p.Retransmits == 0 {
+	if load, overloaded := d.overLimit(route, p.Flow.Caller.IP, state.FlowHash(p.Flow)); overloaded && p.Retransmits == 0 {
 		refusal := d.refuse(now, p, route, ReasonOverload)
 		refusal.InFlight, refusal.InFlightLimit = load.InFlight, load.Limit
 		return refusal
@@ -359,12 +374,16 @@
 	f.setTarget(t)
 	f.lastSeen = now
 	if p.Reset {
+		d.recordEndOfFlow(f)
 		d.removeFlow(p.Flow, f)
 		return forward
 	}
 	sentAt, requestStartedAt, hadRequest := f.lastSentAt, f.requestStartedAt, f.inFlight
 	completesHandshake := !f.established && !f.openerRetransmitted
 	retransmitted := f.recordPacket(now, p)
+	if d.options.LearnsFromRejections && f.completedBytes > 0 {
+		d.recordResponseSize(f)
+	}
 	if completesHandshake {
 		d.recordHandshake(now, t, f.openedAt)
 		d.recordPlaceOpener(now, t, true)
@@ -392,6 +411,7 @@
 		return Decision{Action: ActionReset, Reason: reason, target: t, Route: route, Failures: failures}
 	}
 	if p.Fin {
+		d.recordEndOfFlow(f)
 		f.markClosed()
 	}
 	return forward
--- /dev/null
+++ b/internal/coordination/dsr/fairness.go
@@ -0,0 +1,49 @@
+package dsr
+
+// Shares of callers at a service whose targets reject requests. The open flows are
+// counted by route and caller address, only while there are any, so the counts are bounded
+// by the flow table.
+
+const (
+	// heavyCallerRatio is the number of open flows, relative to the average of the callers
+	// of a service, above which a caller holds more than its share.
+	heavyCallerRatio = 2
+	// heavyCallerLimitShare is the share of the limit that is available to openers of a
+	// caller that holds more than its share.
+	heavyCallerLimitShare = 0.7
+)
+
+// callerCounts holds the open flows of a route by caller address.
+type callerCounts struct {
+	openFlows map[[4]byte]int
+	total     int
+}
+
+// countCaller adds n open flows of the flow's caller to the counts of its route.
+func (f *flow) countCaller(n int) {
+	c := f.route.usage.callers
+	if c == nil || f.closed {
+		return
+	}
+	c.total += n
+	c.openFlows[f.caller] += n
+	if c.openFlows[f.caller] <= 0 {
+		delete(c.openFlows, f.caller)
+	}
+}
+
+// holdsMoreThanShare reports whether a caller holds more open flows to a service than its
+// share.
+func (t *routeTable) holdsMoreThanShare(caller [4]byte, service string) bool {
+	own, open, callers := 0, 0, 0
+	for _, address := range t.byService[service] {
+		usage := t.current[address].usage
+		if usage.callers == nil {
+			continue
+		}
+		own += usage.callers.openFlows[caller]
+		open += usage.callers.total
+		callers += len(usage.callers.openFlows)
+	}
+	return own > 1 && float64(own*callers) > heavyCallerRatio*float64(open)
+}
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -55,6 +55,15 @@
 	// alive, responseAcked when it acknowledges new bytes of a response.
 	madeProgress  bool
 	responseAcked bool
+
+	// caller is the address of the caller.
+	caller [4]byte
+	// responseStartSeq is the sequence number of the first byte of the response that is
+	// being measured, if responseExpected is set. completedBytes is the size of the last
+	// response, 0 if it has been recorded.
+	responseStartSeq uint32
+	completedBytes   uint32
+	responseExpected bool
 }
 
 // openFlow adds a flow for an opener that is forwarded.
@@ -88,6 +97,12 @@
 		return false
 	}
 	d.flows[key] = f
+	if d.options.LearnsFromRejections {
+		f.caller = key.Caller.IP
+		if f.route.usage.callers == nil {
+			f.route.usage.callers = &callerCounts{openFlows: make(map[[4]byte]int)}
+		}
+	}
 	return true
 }
 
@@ -109,6 +124,7 @@
 	if f.target != nil {
 		f.target.openFlows--
 		f.route.usage.openFlows--
+		f.countCaller(-1)
 		if f.closed {
 			f.target.closedFlows--
 		}
@@ -119,6 +135,7 @@
 	if t != nil {
 		t.openFlows++
 		f.route.usage.openFlows++
+		f.countCaller(1)
 		if f.closed {
 			t.closedFlows++
 		}
@@ -159,10 +176,11 @@
 	if f.closed {
 		return
 	}
-	f.closed = true
 	if f.target != nil {
+		f.countCaller(-1)
 		f.target.closedFlows++
 	}
+	f.closed = true
 }
 
 // recordPacket updates the flow with the sequence numbers of a packet. It reports
@@ -173,6 +191,7 @@
 	case !f.established:
 		f.established, f.madeProgress = true, true
 		f.ackedSeq = p.Ack
+		f.startResponse()
 	case seqAfter(p.Ack, f.ackedSeq):
 		f.ackedSeq, f.madeProgress, f.responseAcked = p.Ack, true, true
 		f.finishRequest()
@@ -183,6 +202,7 @@
 	}
 	if !f.inFlight && p.Bytes > 0 {
 		f.startRequest(now, p.Seq)
+		f.startResponse()
 	}
 	if f.nextSeq == f.openerSeq+1 && p.Bytes > 0 {
 		f.requestStartedAt = now // exclude the handshake from the time of the first request
@@ -220,6 +240,10 @@
 			f.finishRequest()
 		}
 		idleFor := now.Sub(f.lastSeen)
+		if d.options.LearnsFromRejections && f.responseExpected && !f.inFlight && idleFor >= responseQuietTime {
+			f.endResponse()
+			d.recordResponseSize(f)
+		}
 		openerExpired := !f.established && f.refusalReason == "" && now.Sub(f.openedAt) > openerTimeout
 		if openerExpired || idleFor > idleTimeout || (f.closed || f.refusalReason != "") && idleFor > closedFlowRetention || d.exceedsLifetime(now, f.openedAt, idleTimeout) {
 			d.removeFlow(key, f)
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -65,6 +65,9 @@
 			keyvals = append(keyvals, "pool", e.Service, "share", roundToHundredths(e.Sharing.Share), "load", roundToHundredths(e.Sharing.Load), "reason", e.Sharing.Reason)
 		} else if e.Service != "" {
 			keyvals = append(keyvals, "pool", e.Service, "slow", roundToHundredths(e.Load.SlowShare), "rate", roundToHundredths(e.Load.ResponseRate), "running", e.Load.InFlight, "limit", roundToHundredths(e.Load.Limit))
+			if e.Load.Reason != "" {
+				keyvals = append(keyvals, "why", e.Load.Reason, "rejected", roundToHundredths(e.Load.RejectedShare))
+			}
 		}
 		keyvals = append(keyvals, failureKeyvals(e.Failures)...)
 		n.log(level.Info, "belief", "changed", keyvals...)
