Admission: end the limit for rejections once targets have room

The limit rises faster while openers are refused without rejections, and ends after one second in which the targets have room. With 30 and 160 balancers it had outlasted the overload by more than ten seconds at 80 % of the capacity.

--- a/internal/coordination/dsr/pressure.go
+++ b/internal/coordination/dsr/pressure.go
@@ -26,9 +26,10 @@
 	rejectionDecreaseRate = 2.0
 	// limitIncreasePerSlot is the increase of the limit per second and slot while openers
 	// are refused.
-	limitIncreasePerSlot = 0.25
-	// limitReleaseTime is how long no opener may have been refused for the limit to end.
-	limitReleaseTime = 2 * time.Second
+	limitIncreasePerSlot = 0.5
+	// limitReleaseTime is how long no opener may have been refused, or targets must have had
+	// room, for the limit to end.
+	limitReleaseTime = time.Second
 	// urgentDeviations is the number of standard deviations of a Poisson distribution that
 	// urgentLimit adds.
 	urgentDeviations = 2
@@ -51,8 +52,9 @@
 	// meanInFlight is the moving average of the in-flight requests of this balancer.
 	meanInFlight float64
 	// hasRoom is set while so few requests are in flight that targets reject none. It is not
-	// set while a limit is in force.
-	hasRoom bool
+	// set while a limit is in force. roomTime is how long there have been so few.
+	hasRoom  bool
+	roomTime time.Duration
 	// newSizes and agedSizes are the sizes of responses to be learned. sizesAge is the time
 	// since newSizes was empty.
 	newSizes, agedSizes []pendingSize
@@ -83,8 +85,12 @@
 	if p.refusals > 0 {
 		p.sinceRefusal = 0
 	}
+	p.roomTime += elapsed
+	if p.meanInFlight > maxRoomInFlightPerSlot*max(slots, 1) {
+		p.roomTime = 0
+	}
 	p.adjustLimit(elapsed, slots)
-	p.hasRoom = p.limit == 0 && p.meanInFlight <= maxRoomInFlightPerSlot*max(slots, 1)
+	p.hasRoom = p.limit == 0 && p.roomTime > 0
 	p.learnSizes(elapsed)
 	p.responses, p.rejections, p.refusals = 0, 0, 0
 }
@@ -98,13 +104,13 @@
 		p.sinceRefusal = 0
 	case p.limit == 0:
 		return
+	case p.roomTime >= limitReleaseTime || share <= rejectionTargetShare && p.sinceRefusal >= limitReleaseTime:
+		p.limit = 0
+		return
 	case share > rejectionTargetShare:
 		p.limit *= math.Exp(-rejectionDecreaseRate * share * elapsed.Seconds())
 	case p.refusals > 0:
 		p.limit += limitIncreasePerSlot * slots * elapsed.Seconds()
-	case p.sinceRefusal >= limitReleaseTime:
-		p.limit = 0
-		return
 	}
 	p.limit = max(p.limit, minInFlightPerSlot*slots)
 }
@@ -149,14 +155,15 @@
 	if float64(r.usage.inFlight) < minRouteLimitShare*l.Limit {
 		return Load{}, false
 	}
-	if d.routes.holdsMoreThanShare(caller, service) {
-		limit *= heavyCallerLimitShare
+	const fractionBits = 32
+	position := float64(l.InFlight) + float64(flowHash%(1<<fractionBits))/(1<<fractionBits)
+	if heavyLimit := heavyCallerLimitShare * limit; position >= heavyLimit && position < limit && d.routes.holdsMoreThanShare(caller, service) {
+		limit = heavyLimit
 	}
 	l.Limit = limit
-	const fractionBits = 32
-	over := float64(l.InFlight)+float64(flowHash%(1<<fractionBits))/(1<<fractionBits) >= limit
-	if over {
-		d.pressures[service].refusals++
+	if position < limit {
+		return l, false
 	}
-	return l, over
+	d.pressures[service].refusals++
+	return l, true
 }
