Admission: limit each place by itself where flows may leave it, and send the excess to places with room

Cause: the limit counted requests, slots and rejections of all places, and an opener above it was refused before a target was looked for elsewhere.

Now the limit is that of the balancer's own place, and an opener above it goes to a place from which responses come sooner, if there is one. TestExcessGoesToPlacesWithRoom could not run before (new interface).

--- a/internal/coordination/dsr/admission.go
+++ b/internal/coordination/dsr/admission.go
@@ -180,9 +180,13 @@
 }
 
 // inFlightAndSlots returns this balancer's in-flight requests at a service, and its
-// share of the slots of the targets that take new flows and are not suspected.
+// share of the slots of the targets that take new flows and are not suspected. Where flows may
+// leave their place, only the targets of this place count: the others have limits of their own.
 func (d *Dispatcher) inFlightAndSlots(service string) (inFlight int, slots float64) {
 	for _, t := range d.targets.byService[service] {
+		if d.options.CrossPlace && t.isElsewhere {
+			continue
+		}
 		inFlight += t.inFlight
 		if t.acceptsNewFlows() && !t.health.suspected() {
 			slots += float64(t.effectiveSlots)
@@ -191,12 +195,23 @@
 	return inFlight, slots / float64(d.balancerCount())
 }
 
-// balancerCount estimates the number of balancers that share the targets: the balancers
-// of this place times the number of places.
+// balancerCount estimates the number of balancers that share the targets that count for the
+// limits: the balancers of this place, times the number of places unless flows leave their place.
 func (d *Dispatcher) balancerCount() int {
+	if d.options.CrossPlace {
+		return max(d.placeBalancerCount, 1)
+	}
 	return max(d.placeBalancerCount, 1) * max(d.options.PlaceCount, 1)
 }
 
+// limitedInFlight returns the in-flight requests of a route that count against a limit.
+func (d *Dispatcher) limitedInFlight(u *routeUsage) int {
+	if d.options.CrossPlace {
+		return u.inFlight - u.inFlightElsewhere
+	}
+	return u.inFlight
+}
+
 // SetPlaceBalancerCount sets the number of balancers in the place, including this one.
 func (d *Dispatcher) SetPlaceBalancerCount(n int) {
 	d.mu.Lock()
@@ -208,7 +223,7 @@
 // The returned Load holds the in-flight requests that count against the route and the
 // limit that applies to it. Requests of less urgent routes don't count.
 func (d *Dispatcher) overLimit(r *Route, caller [4]byte, flowHash uint64) (Load, bool) {
-	if len(r.Backends) == 0 || r.usage.inFlight < minInFlightPerRoute && !d.options.LearnsFromRejections {
+	if len(r.Backends) == 0 || d.limitedInFlight(r.usage) < minInFlightPerRoute && !d.options.LearnsFromRejections {
 		return Load{}, false
 	}
 	service := r.orderBackends(flowHash)[0].Service
@@ -220,7 +235,7 @@
 	if l.Reason == LimitRejected {
 		minInFlight = 1
 	}
-	if r.usage.inFlight < minInFlight {
+	if d.limitedInFlight(r.usage) < minInFlight {
 		return Load{}, false
 	}
 	limit := l.Limit
@@ -228,10 +243,10 @@
 	for _, address := range d.routes.byService[service] {
 		other := d.routes.current[address]
 		if other.Priority <= r.Priority {
-			l.InFlight += other.usage.inFlight
+			l.InFlight += d.limitedInFlight(other.usage)
 		}
 		switch {
-		case other.usage.inFlight < minInFlight:
+		case d.limitedInFlight(other.usage) < minInFlight:
 		case other.Priority < r.Priority:
 			limit = min(limit, max(minInFlightPerSlot*l.Slots, lessUrgentLimitShare*l.Limit))
 		case other.Priority > r.Priority:
--- a/internal/coordination/dsr/choose.go
+++ b/internal/coordination/dsr/choose.go
@@ -36,11 +36,16 @@
 // target to choose, but sends them a trial flow from time to time. For the copy of an opener,
 // when excluded is not empty, it prefers targets that have answered before.
 func (d *Dispatcher) chooseFromService(now time.Time, service string, flowHash uint64, excluded []*Target) *Target {
+	place, otherPlacePenalty := d.placeForFlow(now, service, flowHash, len(excluded) > 0)
+	return d.chooseFromPlace(now, service, place, otherPlacePenalty, flowHash, excluded)
+}
+
+// chooseFromPlace is chooseFromService with a penalty for the targets of all places but one.
+func (d *Dispatcher) chooseFromPlace(now time.Time, service, place string, otherPlacePenalty float64, flowHash uint64, excluded []*Target) *Target {
 	var best, bestSuspected *Target
 	lowestLoad, lowestSuspectedLoad := math.Inf(1), math.Inf(1)
 	preferProven := len(excluded) > 0
 	limit := d.routes.flowLimits[service]
-	place, otherPlacePenalty := d.placeForFlow(now, service, flowHash, len(excluded) > 0)
 	for _, t := range d.targets.byService[service] {
 		if !t.acceptsNewFlows() || !t.hasFlowCapacity(now, limit) || slices.Contains(excluded, t) {
 			continue
--- a/internal/coordination/dsr/crossplace.go
+++ b/internal/coordination/dsr/crossplace.go
@@ -65,6 +65,9 @@
 	sharingBeganShare = 0.02
 	sharingEndedShare = 0.005
 	sharingEndDelay   = 5 * time.Second
+	// minExcessGain is the gain of a place from which it gets flows that the limit of this place does
+	// not admit. A place with a lower one is about as loaded.
+	minExcessGain = 0.5
 	// otherPlacePenalty exceeds the load of any target of the place that was selected for a flow.
 	// It is lower than unprovenLoadPenalty.
 	otherPlacePenalty = 1e5
@@ -232,6 +235,18 @@
 	return local
 }
 
+// placeForExcess returns the place for a flow that the limit of its own place does not admit, empty
+// if none saves enough time. The hash of the flow determines which one is asked first.
+func (s *placeSharing) placeForExcess(now time.Time, flowHash uint64) string {
+	for i := range s.remote {
+		p := s.remote[(flowHash+uint64(i))%uint64(len(s.remote))]
+		if p.unansweredShare <= maxUnansweredShare && s.gain(now, p) >= minExcessGain {
+			return p.name
+		}
+	}
+	return ""
+}
+
 // reachable returns the place with an index, or the next one that is not cut off.
 func (s *placeSharing) reachable(now time.Time, local string, index int) string {
 	for i := range s.remote {
@@ -377,6 +392,25 @@
 	}
 }
 
+// chooseElsewhere returns a target of another place for a flow that the limit of its own place does
+// not admit, nil if no place has room for it.
+func (d *Dispatcher) chooseElsewhere(now time.Time, r *Route, flowHash uint64) *Target {
+	service := r.orderBackends(flowHash)[0].Service
+	s := d.sharing[service]
+	if s == nil {
+		return nil
+	}
+	place := s.placeForExcess(now, flowHash)
+	if place == "" {
+		return nil
+	}
+	t := d.chooseFromPlace(now, service, place, otherPlacePenalty, flowHash, nil)
+	if t == nil || t.Place != place {
+		return nil
+	}
+	return t
+}
+
 // placeForFlow returns the place whose targets a new flow of a service prefers, and the penalty of
 // the targets of other places.
 func (d *Dispatcher) placeForFlow(now time.Time, service string, flowHash uint64, isCopy bool) (place string, penalty float64) {
--- a/internal/coordination/dsr/crossplace_test.go
+++ b/internal/coordination/dsr/crossplace_test.go
@@ -482,3 +482,36 @@
 	assert.DeepEqual(t, kinds(), []EventKind{EventSharingEnded})
 	assert.Equal(t, len(b.d.Gauges().Sharing), 0)
 }
+
+// Guards against openers that are refused although another place has room, and against a place that
+// gets the excess of others while it is as loaded.
+func TestExcessGoesToPlacesWithRoom(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tc := range []struct {
+		farTime   time.Duration
+		wantPlace string
+	}{{60 * ms, "b"}, {200 * ms, ""}} {
+		b := newTestBalancer(t, 6)
+		b.d.options.CrossPlace, b.d.options.LearnsFromRejections = true, true
+		b.advance(100 * ms)
+		s := b.d.sharing["web"]
+		for range 100 {
+			s.recordResponse(b.now, "a", "a", 60*ms)
+		}
+		b.advance(2 * responseMaxAge)
+		s.localTime.add(b.now, 200*ms)
+		s.recordResponse(b.now, "b", "a", tc.farTime)
+		s.recordResponse(b.now, "c", "a", 200*ms)
+		b.openTo(b.d.targets.byID["i-00000001"]).sendRequest(10)
+		b.d.loads["web"] = Load{Limit: 1, Reason: LimitRejected, Slots: 1}
+		b.d.pressures["web"] = &pressure{limit: 1}
+		decision := b.newFlow(0).sendOpener()
+		if tc.wantPlace == "" {
+			assert.Equal(t, decision.Reason, ReasonOverload)
+			continue
+		}
+		assert.Equal(t, decision.Action, ActionForward, "%s", decision.Reason)
+		assert.Equal(t, decision.Target.Place, tc.wantPlace)
+		assert.Equal(t, b.d.limitedInFlight(b.d.routes.current[routeAddress(0)].usage), 1, "requests elsewhere do not count against the limit here")
+	}
+}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -83,7 +83,7 @@
 	return &Dispatcher{
 		options:       o,
 		routes:        routes,
-		targets:       newRegistry(o.MaxFlowLifetime, routes.namesService),
+		targets:       newRegistry(o.Place, o.MaxFlowLifetime, routes.namesService),
 		loads:         make(map[string]Load),
 		sharing:       make(map[string]*placeSharing),
 		pressures:     make(map[string]*pressure),
@@ -285,12 +285,16 @@
 	if f != nil {
 		d.removeFlow(p.Flow, f) // the caller reused its port for a new flow
 	}
+	var t *Target
 	if load, overloaded := d.overLimit(route, p.Flow.Caller.IP, state.FlowHash(p.Flow)); overloaded && p.Retransmits == 0 {
-		refusal := d.refuse(now, p, route, ReasonOverload)
-		refusal.InFlight, refusal.InFlightLimit = load.InFlight, load.Limit
-		return refusal
+		if t = d.chooseElsewhere(now, route, state.FlowHash(p.Flow)); t == nil {
+			refusal := d.refuse(now, p, route, ReasonOverload)
+			refusal.InFlight, refusal.InFlightLimit = load.InFlight, load.Limit
+			return refusal
+		}
+	} else {
+		t = d.chooseTarget(now, route, state.FlowHash(p.Flow), nil)
 	}
-	t := d.chooseTarget(now, route, state.FlowHash(p.Flow), nil)
 	if t == nil && p.Retransmits > 0 {
 		// Another balancer may have forwarded an earlier transmission of the opener, so
 		// the flow may be open already and must not be reset here.
--- a/internal/coordination/dsr/flows.go
+++ b/internal/coordination/dsr/flows.go
@@ -121,29 +121,26 @@
 	if f.target == t {
 		return
 	}
-	if f.target != nil {
-		f.target.openFlows--
-		f.route.usage.openFlows--
-		f.countCaller(-1)
-		if f.closed {
-			f.target.closedFlows--
-		}
-		if f.inFlight {
-			f.target.inFlight--
-		}
+	f.countAtTarget(-1)
+	f.target = t
+	f.countAtTarget(1)
+}
+
+// countAtTarget adds n times the flow to the counters of its target, if there is one, and of its
+// route.
+func (f *flow) countAtTarget(n int) {
+	if f.target == nil {
+		return
 	}
-	if t != nil {
-		t.openFlows++
-		f.route.usage.openFlows++
-		f.countCaller(1)
-		if f.closed {
-			t.closedFlows++
-		}
-		if f.inFlight {
-			t.inFlight++
-		}
+	f.target.openFlows += n
+	f.route.usage.openFlows += n
+	f.countCaller(n)
+	if f.closed {
+		f.target.closedFlows += n
+	}
+	if f.inFlight {
+		f.countInFlight(n)
 	}
-	f.target = t
 }
 
 // startRequest counts an in-flight request. startSeq is the sequence number of its first byte.
@@ -154,8 +151,20 @@
 		return
 	}
 	f.inFlight = true
-	f.target.inFlight++
 	f.route.usage.inFlight++
+	f.countInFlight(1)
+}
+
+// countInFlight adds n to the in-flight requests of the flow's target, if there is one, and to
+// those of the route that are elsewhere.
+func (f *flow) countInFlight(n int) {
+	if f.target == nil {
+		return
+	}
+	f.target.inFlight += n
+	if f.target.isElsewhere {
+		f.route.usage.inFlightElsewhere += n
+	}
 }
 
 // finishRequest ends the in-flight request, if there is one.
@@ -165,9 +174,7 @@
 	}
 	f.inFlight = false
 	f.route.usage.inFlight--
-	if f.target != nil {
-		f.target.inFlight--
-	}
+	f.countInFlight(-1)
 }
 
 // markClosed records that the caller has closed the flow.
--- a/internal/coordination/dsr/pressure.go
+++ b/internal/coordination/dsr/pressure.go
@@ -152,7 +152,7 @@
 // its priority leaves of the limit. The flow hash decides on the fraction of a limit, because
 // the limit of a balancer among 160 is one or two requests.
 func (d *Dispatcher) overPressureLimit(l Load, limit float64, r *Route, service string, caller [4]byte, flowHash uint64) (Load, bool) {
-	if float64(r.usage.inFlight) < minRouteLimitShare*l.Limit {
+	if float64(d.limitedInFlight(r.usage)) < minRouteLimitShare*l.Limit {
 		return Load{}, false
 	}
 	const fractionBits = 32
--- a/internal/coordination/dsr/rejections.go
+++ b/internal/coordination/dsr/rejections.go
@@ -146,7 +146,8 @@
 		sizes = &responseSizes{}
 		f.route.usage.sizes = sizes
 	}
-	if sizes.maxRejectionBytes > 0 && !p.hasRoom {
+	isLimited := !d.options.CrossPlace || !f.target.isElsewhere // see inFlightAndSlots
+	if sizes.maxRejectionBytes > 0 && !p.hasRoom && isLimited {
 		p.responses++
 		if sizes.isRejection(size) {
 			p.rejections++
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -31,6 +31,8 @@
 type routeUsage struct {
 	openFlows int
 	inFlight  int
+	// inFlightElsewhere counts those of the in-flight requests that are at targets of other places.
+	inFlightElsewhere int
 	// activeRatio is the moving average of the fraction of open flows that have a
 	// request in flight.
 	activeRatio float64
--- a/internal/coordination/dsr/scarce_test.go
+++ b/internal/coordination/dsr/scarce_test.go
@@ -25,8 +25,8 @@
 	// scarceFlowRequests is the number of requests on a long flow. Half of the requests are on
 	// long flows.
 	scarceFlowRequests = 20
-	scarceUrgent     = 0
-	scarceLessUrgent = 1
+	scarceUrgent       = 0
+	scarceLessUrgent   = 1
 )
 
 // scarceSite simulates a place whose targets reject requests beyond their queues, and
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -89,6 +89,8 @@
 	warmupUntil  time.Time
 	// evacuated is set while the target's place is evacuated.
 	evacuated bool
+	// isElsewhere is set if the target was in another place than this balancer when it was added.
+	isElsewhere bool
 	// changeSequence is the registry's sequence number of the target's last change that
 	// followers need to know.
 	changeSequence uint64
@@ -157,6 +159,8 @@
 	// revisionRaisedAt is when another balancer last raised revision, zero if the store did.
 	revisionRaisedAt time.Time
 
+	// place is the place of this balancer.
+	place string
 	// evacuatedSince holds the evacuated places that known targets name, with the time at which
 	// this balancer applied the evacuation.
 	evacuatedSince map[string]time.Time
@@ -186,8 +190,9 @@
 	isRouted func(service string) bool
 }
 
-func newRegistry(maxFlowLifetime time.Duration, isRouted func(service string) bool) *registry {
+func newRegistry(place string, maxFlowLifetime time.Duration, isRouted func(service string) bool) *registry {
 	return &registry{
+		place:            place,
 		byID:             make(map[string]*Target),
 		byToken:          make(map[Token]*Target),
 		byService:        make(map[string][]*Target),
@@ -263,7 +268,7 @@
 		return nil
 	}
 	if t == nil {
-		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID), contentHash: a.contentHash(), firstCreated: a.Created}
+		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID), contentHash: a.contentHash(), firstCreated: a.Created, isElsewhere: a.Place != g.place}
 		t.warmupUntil = now.Add(a.WarmupRemaining)
 		g.byID[a.ID] = t
 		g.assignToken(t)
