Add check-config: validate a configuration of the platform's store before it is sent

The command prints errors, warnings and the differences from the version in force; its exit codes are for scripts.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// Exit codes of every command.
+// Exit codes of every command except check-config, which has its own.
 const (
 	ExitSuccess = 0
 	// ExitFailure: the command failed, or it found validation errors or a condition that needs attention.
--- a/internal/cli/usage_test.go
+++ b/internal/cli/usage_test.go
@@ -41,6 +41,8 @@
 		{"check", 2, "PATH"},
 		{"check NONE", 2, "none.json: no such file"},
 		{"check BAD", 1, "1 fault in"},
+		{"check-config", 2, "FILE"},
+		{"check-config GOOD GOOD", 2, "unexpected argument"},
 		{"publish" + fleet, 2, "PATH"},
 		{"publish GOOD" + balancer, 2, "--platform"},
 		{"publish GOOD --platform http://127.0.0.1:1 --fleet-key-file KEY", 2, "--balancer"},
