--- a/internal/coordination/dsr/delta_test.go
+++ b/internal/coordination/dsr/delta_test.go
@@ -256,7 +256,10 @@
 		func(r *Route) { r.Backends[0].Service = "other" },
 		func(r *Route) { r.Backends[0].Weight = 2 },
 		func(r *Route) { r.Backends[0].MaxFlowsPerTarget = 2 },
+		func(r *Route) { r.Backends[0].ColdPerSecond = 2 },
 	}
+	// The value of versions that do not know cold targets, with which balancers must agree in a deployment without them.
+	assert.Equal(t, base, Digest(0xa28ff4fa374d6057))
 	for i, change := range changes {
 		set := routeSetOf(2, 0, 1)
 		change(set.Routes[0])
--- a/internal/coordination/dsr/digest.go
+++ b/internal/coordination/dsr/digest.go
@@ -50,6 +50,10 @@
 		b = appendString(b, backend.Service)
 		b = binary.BigEndian.AppendUint64(b, math.Float64bits(backend.Weight))
 		b = binary.BigEndian.AppendUint64(b, uint64(backend.MaxFlowsPerTarget))
+		if backend.ColdPerSecond > 0 { // otherwise the hash is that of versions without the field
+			b = binary.BigEndian.AppendUint64(b, math.Float64bits(backend.ColdPerSecond))
+			b = binary.BigEndian.AppendUint64(b, uint64(backend.ColdDuration))
+		}
 	}
 	return xxhash.Sum64(b)
 }
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -48,6 +48,11 @@
 	// MaxFlowsPerTarget is how many concurrent flows a target of the service accepts, 0 if
 	// unknown.
 	MaxFlowsPerTarget int
+	// ColdPerSecond is how many requests a second a target of the service can handle during its
+	// warm-up, 0 if unknown. ColdDuration is how long a warm-up takes, 0 if unknown or if
+	// ColdPerSecond is.
+	ColdPerSecond float64
+	ColdDuration  time.Duration
 }
 
 // RouteSet is one version of the configuration.
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -43,10 +43,13 @@
 			Priority:  int32(r.Priority),
 		}
 		for _, b := range r.Backends {
+			// The fields about cold targets are unset without them, as in messages of versions that lack them.
 			route.Backends = append(route.Backends, &wire.FeedBackend{
-				Service:     b.Service,
-				Weight:      b.Weight,
-				Connections: uint32(b.MaxFlowsPerTarget),
+				Service:       b.Service,
+				Weight:        b.Weight,
+				Connections:   uint32(b.MaxFlowsPerTarget),
+				ColdPerSecond: b.ColdPerSecond,
+				ColdMs:        b.ColdDuration.Milliseconds(),
 			})
 		}
 		response.Changed = append(response.Changed, route)
@@ -75,10 +78,15 @@
 			if w := b.GetWeight(); !(w > 0) || math.IsInf(w, 1) {
 				return dsr.RoutesDelta{}, errors.Errorf("decode route %s: weight %v of backend %s; expected a number above 0", route.GetName(), w, b.GetService())
 			}
+			if c := b.GetColdPerSecond(); !(c >= 0) || math.IsInf(c, 1) {
+				return dsr.RoutesDelta{}, errors.Errorf("decode route %s: %v requests a second at cold targets of backend %s; expected a finite number of at least 0", route.GetName(), c, b.GetService())
+			}
 			r.Backends = append(r.Backends, dsr.Backend{
 				Service:           b.GetService(),
 				Weight:            b.GetWeight(),
 				MaxFlowsPerTarget: int(b.GetConnections()),
+				ColdPerSecond:     b.GetColdPerSecond(),
+				ColdDuration:      milliseconds(b.GetColdMs()),
 			})
 		}
 		d.Changed = append(d.Changed, r)
--- a/internal/transport/feed/feed_test.go
+++ b/internal/transport/feed/feed_test.go
@@ -260,7 +260,7 @@
 	sent := dsr.RoutesDelta{AfterVersion: 1, Version: 2, Digest: 1<<63 + 7, IdleTimeout: 7 * time.Second, Changed: []*dsr.Route{{
 		Name: "r", Address: protocol.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}, Timeout: time.Second,
 		LatencyTarget: 250 * time.Millisecond, Priority: 2,
-		Backends: []dsr.Backend{{Service: "web", Weight: 90, MaxFlowsPerTarget: 2000}, {Service: "old", Weight: 10}},
+		Backends: []dsr.Backend{{Service: "web", Weight: 90, MaxFlowsPerTarget: 2000}, {Service: "old", Weight: 10, ColdPerSecond: 2.5, ColdDuration: 3 * time.Second}},
 	}}, Removed: []protocol.Endpoint{{IP: [4]byte{198, 18, 0, 2}, Port: 80}}}
 	received, err := decodeRoutesDelta(1, encodeRoutesDelta(sent))
 	assert.NilError(t, err)
