Limit the openers to cold targets

A target in warm-up whose service states cold-per-s gets at most cold-per-s x cold-overage + cold-slack openers in any second, copies included. Up to five balancers of its place send them, selected by rendezvous hashing over the members, each with a fixed share in a sliding window. All shares of one member list make up half of the limit, so that it also holds with two different lists. Off without bounds.cold-overage and bounds.cold-slack.

With the limit on, followers are told of a warm-up that becomes longer without a restart, and of the time that is left of one. Before, a follower kept the time of the entry that it had received first.

--- a/internal/coordination/dsr/choose.go
+++ b/internal/coordination/dsr/choose.go
@@ -47,7 +47,7 @@
 	preferProven := len(excluded) > 0
 	limit := d.routes.flowLimits[service]
 	for _, t := range d.targets.byService[service] {
-		if !t.acceptsNewFlows() || !t.hasFlowCapacity(now, limit) || slices.Contains(excluded, t) {
+		if !t.acceptsNewFlows() || !t.hasFlowCapacity(now, limit) || slices.Contains(excluded, t) || !d.maySendOpener(now, t) {
 			continue
 		}
 		penalty := 0.0
--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -80,7 +80,7 @@
 	for id, t := range g.byID {
 		switch {
 		case t.goneAt.IsZero() && (delta.Full || t.changeSequence > afterSequence):
-			delta.Targets = append(delta.Targets, t.Announcement)
+			delta.Targets = append(delta.Targets, g.announcementFor(d.lastTickAt, t))
 		case !t.goneAt.IsZero() && !delta.Full && t.changeSequence > afterSequence:
 			delta.Gone = append(delta.Gone, id)
 		}
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -35,6 +35,9 @@
 	// LearnsFromRejections limits the admission of flows to services whose targets reject
 	// requests.
 	LearnsFromRejections bool
+	// ColdOverage and ColdSlack limit the openers to a target in warm-up to ColdOverage times the requests a
+	// second that it can handle then, plus ColdSlack. There is no limit if ColdOverage is 0.
+	ColdOverage, ColdSlack float64
 }
 
 // defaultFlowCapacity is six times the number of flows per balancer at the fleet size
@@ -63,7 +66,11 @@
 	pressures map[string]*pressure
 	// placeBalancerCount is the number of balancers in this balancer's place, 0 while unknown.
 	placeBalancerCount int
-	lastTickAt         time.Time
+	// members holds the balancers of the place, nil while unknown.
+	members *placeMembers
+	// coldVersion counts the changes of routes and members on which the limits of cold targets depend, from 1.
+	coldVersion uint64
+	lastTickAt  time.Time
 	// readyCh is closed once routes and targets are known.
 	readyCh chan struct{}
 	// resumedAt is when the process last resumed after a freeze. Packets sent before
@@ -80,7 +87,7 @@
 		o.FailureHoldTime = defaultFailureHoldTime
 	}
 	routes := newRouteTable()
-	return &Dispatcher{
+	d := &Dispatcher{
 		options:       o,
 		routes:        routes,
 		targets:       newRegistry(o.Place, o.MaxFlowLifetime, routes.namesService),
@@ -90,7 +97,10 @@
 		flows:         make(map[protocol.FlowKey]*flow),
 		unroutedFlows: make(map[protocol.FlowKey]*unroutedFlow),
 		readyCh:       make(chan struct{}),
+		coldVersion:   1,
 	}
+	d.targets.replicatesWarmup = o.limitsColdTargets()
+	return d
 }
 
 // Ready returns a channel that is closed once routes and targets are known.
@@ -130,6 +140,7 @@
 		kind = EventRoutesAdopted
 	}
 	if applied {
+		d.coldVersion++
 		if d.routes.apply(set, isFromStore) {
 			d.targets.rebuildIndex()
 		}
@@ -206,13 +217,15 @@
 	// Rejections is the number of requests that targets rejected, by service. It is nil
 	// unless rejections are recognized.
 	Rejections map[string]uint64 `json:",omitempty"`
+	// Cold counts the cold targets. It is nil unless the openers to them are limited.
+	Cold *ColdTargets `json:",omitempty"`
 }
 
 // Gauges returns the current values of the dispatcher's state.
 func (d *Dispatcher) Gauges() Gauges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate()}
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate(), Cold: d.coldTargets()}
 	for service, s := range d.sharing {
 		if s.isAnnounced {
 			if g.Sharing == nil {
@@ -250,6 +263,9 @@
 		handle = d.handleOpener
 	}
 	decision := handle(now, p)
+	if p.Opener && decision.Action == ActionForward {
+		d.recordOpenerSent(now, decision.target)
+	}
 	decision.RoutesVersion = d.routes.version
 	decision.ListingAge = now.Sub(d.targets.asOf)
 	if t := decision.target; t != nil {
@@ -273,7 +289,7 @@
 		return Decision{Action: ActionReset, Reason: ReasonNoRoute}
 	}
 	f := d.flows[p.Flow]
-	if f != nil && f.openerSeq == p.Seq && f.established && !f.target.acceptsNewFlows() {
+	if f != nil && f.openerSeq == p.Seq && f.established && !(f.target.acceptsNewFlows() && d.maySendOpener(now, f.target)) {
 		return Decision{Reason: ReasonNoTargetForCopy, Route: route} // the flow does not need the copy
 	}
 	if f != nil && f.openerSeq == p.Seq && f.established {
@@ -325,7 +341,7 @@
 	d.recordPlaceOpener(now, f.target, false)
 	d.recordUnansweredOpener(now, f)
 	failures := f.target.health.failureSummary(now)
-	accepts := f.target.acceptsNewFlows() && route.hasBackend(f.target.Service)
+	accepts := f.target.acceptsNewFlows() && route.hasBackend(f.target.Service) && d.maySendOpener(now, f.target)
 	if accepts && !f.target.health.suspected() && !f.target.recentlyFull(now) && f.target.health.succeededRecently(now) {
 		return Decision{Action: ActionForward, Reason: ReasonRepeatedOpener, target: f.target, Route: route, Failures: failures}
 	}
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -84,6 +84,8 @@
 	current       map[protocol.Endpoint]*Route
 	// flowLimits holds the number of concurrent flows that a target accepts, by service.
 	flowLimits map[string]int
+	// coldLimits holds what is known about targets in warm-up, by service.
+	coldLimits map[string]coldLimit
 	// byService holds the addresses of the routes to each service.
 	byService map[string][]protocol.Endpoint
 	// allowedServices holds, for each address, the services that any version routed it
@@ -144,7 +146,7 @@
 	t.version, t.idleTimeout, t.isFromStore = set.Version, set.IdleTimeout, isFromStore
 	t.contentDigest = set.digest()
 	t.current = set.byAddress()
-	t.flowLimits = make(map[string]int)
+	t.flowLimits, t.coldLimits = make(map[string]int), make(map[string]coldLimit)
 	for _, r := range t.current {
 		if old := previous[r.Address]; old != nil {
 			r.usage = old.usage
@@ -157,6 +159,9 @@
 		t.allowServices(r)
 		for _, b := range r.Backends {
 			t.flowLimits[b.Service] = b.MaxFlowsPerTarget
+			if b.ColdPerSecond > 0 {
+				t.coldLimits[b.Service] = coldLimit{perSecond: b.ColdPerSecond, maxDuration: b.ColdDuration}
+			}
 		}
 	}
 	t.indexByService()
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -86,7 +86,10 @@
 	goneRevision uint64
 	// missingSince is when a listing first lacked the target, zero if it is not missing.
 	missingSince time.Time
-	warmupUntil  time.Time
+	// warmupSince is when the announcement of the current warm-up was applied.
+	warmupSince time.Time
+	warmupUntil time.Time
+	cold        coldOpeners
 	// evacuated is set while the target's place is evacuated.
 	evacuated bool
 	// isElsewhere is set if the target was in another place than this balancer when it was added.
@@ -183,6 +186,8 @@
 	// store has recovered.
 	keepMissingUntil time.Time
 	storeUnavailable bool
+	// replicatesWarmup is set if followers are told of warm-ups that become longer.
+	replicatesWarmup bool
 	tokenRetention   time.Duration
 	deriveToken      func(id string) Token
 	// isRouted reports whether a current route names a service. When its results change, the
@@ -269,7 +274,7 @@
 	}
 	if t == nil {
 		t = &Target{Announcement: a, Token: g.deriveToken(a.ID), idHash: xxhash.Sum64String(a.ID), contentHash: a.contentHash(), firstCreated: a.Created, isElsewhere: a.Place != g.place}
-		t.warmupUntil = now.Add(a.WarmupRemaining)
+		t.setWarmup(now, a.WarmupRemaining)
 		g.byID[a.ID] = t
 		g.assignToken(t)
 		g.markChanged(t)
@@ -280,7 +285,7 @@
 
 func (g *registry) update(now time.Time, t *Target, a Announcement) []Event {
 	var events []Event
-	if g.differs(t, a) {
+	if g.differs(t, a) || g.extendsWarmup(now, t, a) {
 		g.markChanged(t)
 		t.contentHash = a.contentHash()
 	}
@@ -303,7 +308,7 @@
 		events = append(events, Event{Kind: kind, target: t, Revision: a.Revision})
 	}
 	if a.Revision != t.Revision {
-		t.warmupUntil = now.Add(a.WarmupRemaining)
+		t.setWarmup(now, a.WarmupRemaining)
 	}
 	t.missingSince = time.Time{}
 	t.firstCreated = min(t.firstCreated, a.Created)
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -113,6 +113,10 @@
 	differs       bool
 	readsPlatform bool
 	loss          feed.LossAggregate
+	// firstMembersAt is when the member list was first read, memberSeenAt when a list last had a
+	// name. They are used where openers to cold targets are limited.
+	firstMembersAt time.Time
+	memberSeenAt   map[string]time.Time
 }
 
 // New returns a service with open sockets. Run starts it.
--- a/internal/transport/feed/members.go
+++ b/internal/transport/feed/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -13,19 +15,31 @@
 // first data. A platform that is 60 times slower than usual answers within a quarter of a second.
 const hungReadDelay = 300 * time.Millisecond
 
+// membersSettleTime is the time from the first read of the member list on after which a list may decide
+// which balancers send openers to cold targets. While a whole place starts, the lists are incomplete,
+// and each balancer would take itself for one of the first in the order.
+const membersSettleTime = 3 * time.Second
+
+// memberMemory is how long a name that a list lacks still counts as a member where openers to cold
+// targets are limited. It exceeds the interval of the reads of 160 members: when the store loses its
+// leases, the members return one by one with their next read.
+const memberMemory = 5 * time.Minute
+
 // pollMembers registers this balancer and reads the member list periodically until ctx
 // ends. A read that failed or hangs is repeated when this balancer gets its first data: the
 // platform answers then, possibly only for a short time. That read does not register: when a
 // fleet starts, the calls of the registrations would come in the same second as the first reads.
 func (s *Service) pollMembers(ctx context.Context) {
 	firstData := s.options.Dispatcher.Ready()
-	for first := true; ctx.Err() == nil; first = false {
+	for reads := 1; ctx.Err() == nil; reads++ {
 		if isClosed(firstData) {
 			firstData = nil
 		}
 		interval, err := s.refreshMembers(ctx, firstData)
-		if first {
+		if reads == 1 {
 			interval = firstMembersInterval
+		} else if reads == 2 && s.options.Dispatcher.LimitsColdTargets() {
+			interval = membersSettleTime
 		}
 		var retry <-chan struct{}
 		if err != nil && ctx.Err() == nil {
@@ -111,4 +125,24 @@
 		count++
 	}
 	s.options.Dispatcher.SetPlaceBalancerCount(count)
+	if s.options.Dispatcher.LimitsColdTargets() {
+		s.options.Dispatcher.SetPlaceMembers(s.options.Self.VM, s.coldMembers(s.options.Now(), members))
+	}
+}
+
+// coldMembers returns the names among which the balancers that send openers to cold targets are
+// selected: those of the list, and those of earlier ones for a time. It returns none while lists may be
+// incomplete, or if the list lacks this balancer, because others then do not know it.
+func (s *Service) coldMembers(now time.Time, members []feed.Member) []string {
+	if s.memberSeenAt == nil {
+		s.memberSeenAt, s.firstMembersAt = make(map[string]time.Time), now
+	}
+	for _, m := range members {
+		s.memberSeenAt[m.VM] = now
+	}
+	maps.DeleteFunc(s.memberSeenAt, func(_ string, seenAt time.Time) bool { return now.Sub(seenAt) > memberMemory })
+	if now.Sub(s.firstMembersAt) < membersSettleTime || !feed.IsListed(s.options.Self.VM, members) {
+		return nil
+	}
+	return slices.Collect(maps.Keys(s.memberSeenAt))
 }
