Share the check of usable targets and the body that reports reads

Three places asked whether a target takes new flows and is not suspected: Target.isUsable. The connection to the platform had a second body that reports its reads: progress.ReportReads serves both. The two branches for copies of the opener of an open flow shared their condition. slotsOfUsable is no longer named like Target.usableSlots, which means something else.

--- a/internal/coordination/dsr/admission.go
+++ b/internal/coordination/dsr/admission.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		inFlight += t.inFlight
-		if t.acceptsNewFlows() && !t.health.suspected() {
+		if t.isUsable() {
 			slots += float64(t.effectiveSlots)
 		}
 	}
--- a/internal/coordination/dsr/crossplace.go
+++ b/internal/coordination/dsr/crossplace.go
@@ -28,12 +28,11 @@
 	}
 }
 
-// placeCapacities returns the capacity and load of the targets of a service that take new flows and
-// are not suspected, by place.
+// placeCapacities returns the capacity and load of the usable targets of a service, by place.
 func placeCapacities(now time.Time, targets []*Target) map[string]placeCapacity {
 	capacities := make(map[string]placeCapacity)
 	for _, t := range targets {
-		if !t.acceptsNewFlows() || t.health.suspected() {
+		if !t.isUsable() {
 			continue
 		}
 		c := capacities[t.Place]
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -289,10 +289,10 @@
 		return Decision{Action: ActionReset, Reason: ReasonNoRoute}
 	}
 	f := d.flows[p.Flow]
-	if f != nil && f.openerSeq == p.Seq && f.established && !(f.target.acceptsNewFlows() && d.maySendOpener(now, f.target)) {
-		return Decision{Reason: ReasonNoTargetForCopy, Route: route} // the flow does not need the copy
-	}
 	if f != nil && f.openerSeq == p.Seq && f.established {
+		if !f.target.acceptsNewFlows() || !d.maySendOpener(now, f.target) {
+			return Decision{Reason: ReasonNoTargetForCopy, Route: route} // the flow does not need the copy
+		}
 		return Decision{Action: ActionForward, Reason: ReasonRepeatedOpener, target: f.target, Route: route}
 	}
 	if f != nil && f.openerSeq == p.Seq {
--- a/internal/coordination/dsr/evacuation.go
+++ b/internal/coordination/dsr/evacuation.go
@@ -105,17 +105,17 @@
 		e.OpenFlows += t.activeFlows()
 		e.InFlight += t.inFlight
 		if _, found := e.SlotsElsewhere[t.Service]; !found && t.goneAt.IsZero() {
-			e.SlotsElsewhere[t.Service] = d.usableSlots(t.Service)
+			e.SlotsElsewhere[t.Service] = d.slotsOfUsable(t.Service)
 		}
 		evacuations[t.Place] = e
 	}
 	return evacuations
 }
 
-// usableSlots returns the slots of a service's targets that take new flows and are not suspected.
-func (d *Dispatcher) usableSlots(service string) (slots int) {
+// slotsOfUsable returns the slots of the usable targets of a service.
+func (d *Dispatcher) slotsOfUsable(service string) (slots int) {
 	for _, t := range d.targets.byService[service] {
-		if t.acceptsNewFlows() && !t.health.suspected() {
+		if t.isUsable() {
 			slots += t.effectiveSlots
 		}
 	}
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -116,6 +116,10 @@
 // evacuated.
 func (t *Target) acceptsNewFlows() bool { return t.goneAt.IsZero() && !t.Draining && !t.evacuated }
 
+// isUsable reports whether the target takes new flows and is not suspected, so that its slots count as
+// capacity.
+func (t *Target) isUsable() bool { return t.acceptsNewFlows() && !t.health.suspected() }
+
 // KnownTarget is a target that a balancer knows and has not marked as gone.
 type KnownTarget struct {
 	Announcement
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -198,7 +198,7 @@
 	}
 	tracker.Report()
 	if c.progress != nil {
-		httpResponse.Body = progressBody{httpResponse.Body, c.progress}
+		httpResponse.Body = progress.ReportReads(httpResponse.Body, c.progress)
 	}
 	responseBody := tracker.Body(httpResponse.Body)
 	defer responseBody.Close()
@@ -209,20 +209,6 @@
 	return Response{Status: httpResponse.StatusCode, Body: body, OnUsedConnection: used.Reused, connection: used.Conn}, nil
 }
 
-// progressBody reports each part of a body that is read.
-type progressBody struct {
-	io.ReadCloser
-	report func()
-}
-
-func (b progressBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.report()
-	}
-	return n, err
-}
-
 // unwrapURLError removes method and URL from an error of the HTTP library. The caller adds
 // the key instead, which is easier to read for operators.
 func unwrapURLError(err error) error {
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -48,22 +48,31 @@
 	if t == nil {
 		return b
 	}
-	return body{b, t}
+	return body{ReportReads(b, t.Report), t}
 }
 
-type body struct {
+// ReportReads returns a body that calls report whenever a part has been read.
+func ReportReads(b io.ReadCloser, report func()) io.ReadCloser { return reportingBody{b, report} }
+
+type reportingBody struct {
 	io.ReadCloser
-	tracker *Tracker
+	report func()
 }
 
-func (b body) Read(p []byte) (int, error) {
+func (b reportingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.tracker.Report()
+		b.report()
 	}
 	return n, err
 }
 
+// body ends the context of its tracker when it is closed.
+type body struct {
+	io.ReadCloser
+	tracker *Tracker
+}
+
 func (b body) Close() error {
 	err := b.ReadCloser.Close()
 	b.tracker.Stop()
