--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -77,6 +77,7 @@
 // Response is the complete response to a call.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 	// OnUsedConnection is true if the connection had been used for another call before.
 	OnUsedConnection bool
@@ -206,7 +207,7 @@
 	if err != nil {
 		return Response{}, errors.Wrap(err, "read response body")
 	}
-	return Response{Status: httpResponse.StatusCode, Body: body, OnUsedConnection: used.Reused, connection: used.Conn}, nil
+	return Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, OnUsedConnection: used.Reused, connection: used.Conn}, nil
 }
 
 // unwrapURLError removes method and URL from an error of the HTTP library. The caller adds
