Store: order what is read by the store's era and revision

A reader that was paused while the store returned from an older copy kept an older configuration for good and passed it on: its watch went on from a revision that the store had given out again, so no 410 came and the changes before it never did. Other readers ignored all listings until the revision had passed the lost one, while their data counted as current.

Cause: a revision names a state of the store only within one era. All that is read now has a position, era and revision: a watch does not continue in another era, the parts of a full read are of one era, copies of responses are told by position, and the registry of targets replaces the numbers of a former era. A lower era or revision counts only on a new connection. A response without a valid era is taken to be of the known one and logged; a watch is then followed by a full read.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -1,7 +1,6 @@
 package dsr
 
 import (
-	"slices"
 	"time"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
@@ -13,8 +12,9 @@
 	// Epoch identifies the balancer's process, ChangeSequence its latest change.
 	Epoch          uint64
 	ChangeSequence uint64
-	// Revision is the store revision of the balancer's data.
-	Revision uint64
+	// Era and Revision are the state of the store of the balancer's data. Balancers of earlier
+	// versions do not send the era; it is then 0.
+	Era, Revision uint64
 	// Full is set if Targets holds all targets that are not gone, not only the changed ones.
 	Full    bool
 	Targets []Announcement
@@ -35,8 +35,8 @@
 	Epoch          uint64
 	ChangeSequence uint64
 	TargetsDigest  Digest
-	// Revision is the store revision of the data.
-	Revision uint64
+	// Era and Revision are the state of the store of the data.
+	Era, Revision uint64
 	// Listings counts the listings that this balancer read from the store and applied.
 	Listings uint64
 	// AsOf is the latest time at which the data were known to match the store.
@@ -56,17 +56,18 @@
 		Epoch:              g.epoch,
 		ChangeSequence:     g.changeSequence,
 		TargetsDigest:      g.contentDigest,
-		Revision:           g.revision,
+		Era:                g.position.Era,
+		Revision:           g.position.Revision,
 		Listings:           g.listings,
 		AsOf:               g.asOf,
 	}, d.ready()
 }
 
-// Revision returns the store revision of the targets in use.
-func (d *Dispatcher) Revision() uint64 {
+// Position returns the state of the store of the targets in use.
+func (d *Dispatcher) Position() Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.targets.revision
+	return d.targets.position
 }
 
 // Delta returns the changes after a sequence number of this process, or all targets if
@@ -75,7 +76,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.targets
-	delta := Delta{Epoch: g.epoch, ChangeSequence: g.changeSequence, Revision: g.revision, EvacuatedPlaces: g.evacuatedPlaces()}
+	delta := Delta{Epoch: g.epoch, ChangeSequence: g.changeSequence, Era: g.position.Era, Revision: g.position.Revision, EvacuatedPlaces: g.evacuatedPlaces()}
 	delta.Full = epoch != g.epoch || afterSequence < g.evictedSequence || afterSequence > g.changeSequence
 	for id, t := range g.byID {
 		switch {
@@ -100,12 +101,21 @@
 }
 
 func (g *registry) applyDelta(now time.Time, delta Delta) (applied bool, events []Event) {
-	if g.hasListing && delta.Revision < g.revision {
-		return false, []Event{{Kind: EventListingIgnored, Revision: delta.Revision}}
+	position := Position{delta.Era, delta.Revision}
+	if position.Era == 0 {
+		position.Era = g.position.Era
+	}
+	if g.hasListing && position.Before(g.position) {
+		return false, []Event{{Kind: EventListingIgnored, Era: position.Era, Revision: position.Revision}}
+	}
+	if g.hasListing && position.Era != g.position.Era {
+		events = append(events, g.enterEra(now, position))
+		g.positionRaisedAt = now
 	}
 	g.hasListing = true
-	g.raiseRevision(now, delta.Revision)
-	present, events := g.upsertAll(now, slices.DeleteFunc(delta.Targets, g.isObsolete))
+	g.raisePosition(now, position)
+	present, upserted := g.upsertAll(now, delta.Targets, func(_ time.Time, a Announcement) bool { return g.isObsolete(a) })
+	events = append(events, upserted...)
 	goneIDs := delta.Gone
 	if delta.Full {
 		goneIDs = g.missingIDs(present)
@@ -151,11 +161,11 @@
 }
 
 // ConfirmAsOf records that the data matched another balancer's, which matched the store at
-// the given time, when the store was at least at the given revision.
+// the given time, when the store was at least at the given revision of the era of the data here.
 func (d *Dispatcher) ConfirmAsOf(now, asOf time.Time, revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.targets.raiseRevision(now, revision)
+	d.targets.raisePosition(now, Position{d.targets.position.Era, revision})
 	d.targets.confirm(asOf)
 }
 
@@ -168,7 +178,7 @@
 		d.addDataEvents(d.targets.asOf, Event{Kind: EventRoutesMismatch, Revision: d.routes.version, RoutesDigest: d.routes.contentDigest})
 	}
 	if targets {
-		d.addDataEvents(d.targets.asOf, Event{Kind: EventTargetsMismatch, Revision: d.targets.revision})
+		d.addDataEvents(d.targets.asOf, Event{Kind: EventTargetsMismatch, Revision: d.targets.position.Revision})
 	}
 }
 
--- a/internal/coordination/dsr/delta_test.go
+++ b/internal/coordination/dsr/delta_test.go
@@ -28,7 +28,7 @@
 func TestFollowersConvergeOnSameTargets(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		parent, follower := newTestBalancer(t, 3), newTestBalancer(t, 0)
-		follower.d.targets.revision = 0
+		follower.d.targets.position.Revision = 0
 		var epoch, sequence uint64
 		next := 3
 		for range rapid.IntRange(1, 40).Draw(r, "steps") {
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -204,7 +204,9 @@
 // Gauges are current values of the dispatcher's state.
 type Gauges struct {
 	Flows, Targets, Suspected int
-	RoutesVersion, Revision   uint64
+	RoutesVersion             uint64
+	// Era and Revision are the state of the store of the targets.
+	Era, Revision uint64
 	// RoutesDigest is a hash of the routes in force. It differs between two balancers with
 	// one version if their routes differ.
 	RoutesDigest Digest
@@ -225,7 +227,7 @@
 func (d *Dispatcher) Gauges() Gauges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Revision: d.targets.revision, LossShare: d.loss.lossRate(), Cold: d.coldTargets()}
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Era: d.targets.position.Era, Revision: d.targets.position.Revision, LossShare: d.loss.lossRate(), Cold: d.coldTargets()}
 	for service, s := range d.sharing {
 		if s.isAnnounced {
 			if g.Sharing == nil {
--- a/internal/coordination/dsr/evacuation.go
+++ b/internal/coordination/dsr/evacuation.go
@@ -26,10 +26,10 @@
 		switch {
 		case places[place] && !isEvacuated:
 			g.evacuatedSince[place] = now
-			events = append(events, Event{Kind: EventPlaceEvacuated, Place: place, Revision: g.revision})
+			events = append(events, Event{Kind: EventPlaceEvacuated, Place: place, Revision: g.position.Revision})
 		case !places[place] && isEvacuated:
 			delete(g.evacuatedSince, place)
-			events = append(events, Event{Kind: EventPlaceReturned, Place: place, Revision: g.revision})
+			events = append(events, Event{Kind: EventPlaceReturned, Place: place, Revision: g.position.Revision})
 		}
 	}
 	if len(events) > 0 {
--- a/internal/coordination/dsr/evacuation_test.go
+++ b/internal/coordination/dsr/evacuation_test.go
@@ -204,7 +204,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		chain := []*testBalancer{newTestBalancer(t, 3), newTestBalancer(t, 0), newTestBalancer(t, 0)}
 		for _, b := range chain[1:] {
-			b.d.targets.revision = 0
+			b.d.targets.position.Revision = 0
 		}
 		root := chain[0]
 		type position struct{ epoch, sequence uint64 }
@@ -295,7 +295,7 @@
 	b.evacuate(names...)
 	assert.DeepEqual(t, b.d.Delta(0, 0).EvacuatedPlaces, []string{"a"})
 	follower := newTestBalancer(t, 0)
-	follower.d.targets.revision = 0
+	follower.d.targets.position.Revision = 0
 	delta := b.d.Delta(0, 0)
 	delta.EvacuatedPlaces = names // as of another implementation
 	assert.Assert(t, follower.d.ApplyDelta(follower.now, delta))
--- a/internal/coordination/dsr/events.go
+++ b/internal/coordination/dsr/events.go
@@ -37,6 +37,9 @@
 	// EventRevisionReset means that another balancer had sent a revision, or a version of the
 	// routes, that the store never had.
 	EventRevisionReset EventKind = "revision-reset"
+	// EventStoreReturned means that the data are of a later era of the store than those before: it
+	// returned from an older copy.
+	EventStoreReturned EventKind = "store-returned"
 )
 
 // Event is a change of a balancer's view of the targets, the routes or the load, with
@@ -48,6 +51,8 @@
 	Target Announcement
 	// Revision is the revision of the store or, for events about routes, their version.
 	Revision uint64
+	// Era is the era of the store for events about data of another one than before, 0 for others.
+	Era uint64
 	// RoutesDigest is the digest of the routes in force after an event about routes, 0 for
 	// other events.
 	RoutesDigest Digest
--- a/internal/coordination/dsr/revision.go
+++ b/internal/coordination/dsr/revision.go
@@ -14,16 +14,15 @@
 	return !sentAt.IsZero() && !readAt.IsZero() && readAt.Sub(sentAt) > falseNumberTimeout
 }
 
-// raiseRevision records the revision of the data of another balancer.
-func (g *registry) raiseRevision(now time.Time, revision uint64) {
-	if revision > g.revision {
-		g.revision, g.revisionRaisedAt = revision, now
+// raisePosition records the position of the data of another balancer.
+func (g *registry) raisePosition(now time.Time, p Position) {
+	if g.position.Before(p) {
+		g.position, g.positionRaisedAt = p, now
 	}
 }
 
-// resetRevisions forgets the revisions of the targets, so that a listing replaces all of them.
-func (g *registry) resetRevisions() {
-	for _, t := range g.byID {
-		t.Revision, t.goneRevision = 0, 0
-	}
+// disproves reports whether a listing with an earlier position shows that the store does not have the
+// present one: it was read anew, and the present one came from the store, too, or is false.
+func (g *registry) disproves(l Listing) bool {
+	return !l.ReadAt.IsZero() && (g.positionRaisedAt.IsZero() || isFalse(g.positionRaisedAt, l.ReadAt))
 }
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -1,7 +1,6 @@
 package dsr
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,13 +37,15 @@
 	// EvacuatedPlaces holds the places whose targets get no new flows. It is only read, and not
 	// kept.
 	EvacuatedPlaces map[string]bool
-	// Revision is the lowest store revision that the list may reflect.
-	Revision uint64
+	// Era and Revision are the earliest state of the store that the list may reflect.
+	Era, Revision uint64
 	// ReadAt is when the read of the list was begun, zero if its response may be the copy of an
 	// earlier one and thus cannot show that a higher revision never existed.
 	ReadAt time.Time
 }
 
+func (l Listing) position() Position { return Position{l.Era, l.Revision} }
+
 const (
 	// MaxSlots is the largest number of slots of a target.
 	MaxSlots = 1 << 16
@@ -76,6 +77,8 @@
 	// effectiveSlots is the number of slots with which the target counts, at most maxSlotsRatio
 	// times those of the median target of its service.
 	effectiveSlots int
+	// former holds the numbers of the announcement before the store last returned from a copy.
+	former formerNumbers
 	// firstCreated is the lowest revision at which the entry was known to be created. It may be
 	// created again after an outage of the store.
 	firstCreated uint64
@@ -123,6 +126,9 @@
 // KnownTarget is a target that a balancer knows and has not marked as gone.
 type KnownTarget struct {
 	Announcement
+	// FormerCreated is the Created of its announcement before the store last returned from an older
+	// copy, 0 if it never did.
+	FormerCreated uint64
 	// NeverAnswered is set if the target left packets unanswered, while others answered, and has
 	// answered none.
 	NeverAnswered bool
@@ -136,7 +142,7 @@
 	if t == nil || !t.goneAt.IsZero() {
 		return KnownTarget{}, false
 	}
-	return KnownTarget{Announcement: t.Announcement, NeverAnswered: t.health.suspected() && t.health.lastSuccessAt.IsZero()}, true
+	return KnownTarget{Announcement: t.Announcement, FormerCreated: t.former.created, NeverAnswered: t.health.suspected() && t.health.lastSuccessAt.IsZero()}, true
 }
 
 // tokenForID derives the token from the ID alone, so that all balancers use the same token.
@@ -158,13 +164,19 @@
 	// latestByEndpoint holds, by address, the target that was created last among those that are
 	// not gone.
 	latestByEndpoint map[protocol.Endpoint]*Target
-	// revision is the store revision of the latest data, asOf the latest time at which
+	// position is the state of the store of the latest data, asOf the latest time at which
 	// they were known to be current.
-	revision   uint64
+	position   Position
 	hasListing bool
 	asOf       time.Time
-	// revisionRaisedAt is when another balancer last raised revision, zero if the store did.
-	revisionRaisedAt time.Time
+	// positionRaisedAt is when another balancer last raised position, zero if the store did.
+	positionRaisedAt time.Time
+	// holdUntil is the time until which hosts and operator may not have written again what the store
+	// lost when it returned from an older copy. entryRevision is the revision of the first data since
+	// then, and evacuatedBefore holds the places that were evacuated before.
+	holdUntil       time.Time
+	entryRevision   uint64
+	evacuatedBefore map[string]time.Time
 
 	// place is the place of this balancer.
 	place string
@@ -177,7 +189,7 @@
 	listings uint64
 	// keepsMissing is set if the last listing lacked targets that are kept.
 	keepsMissing bool
-	// epoch identifies this registry, in 32 bits to keep the answers to probes short.
+	// epoch identifies this registry in one era of the store.
 	// changeSequence is the number of its latest change, evictedSequence the highest
 	// changeSequence of an evicted target.
 	epoch           uint64
@@ -208,7 +220,7 @@
 		latestByEndpoint: make(map[protocol.Endpoint]*Target),
 		evacuatedSince:   make(map[string]time.Time),
 		lastFirstTrials:  make(map[string]time.Time),
-		epoch:            1 + uint64(rand.Uint32()),
+		epoch:            newEpoch(),
 		tokenRetention:   maxFlowLifetime + tokenRetentionMargin,
 		deriveToken:      tokenForID,
 		isRouted:         isRouted,
@@ -231,24 +243,31 @@
 // listing that is older than the current data. If it keeps targets that the listing lacks,
 // the data do not match the store, and keptUntil is when they may be marked as gone.
 func (g *registry) applyListing(now time.Time, l Listing) (events []Event, keptUntil time.Time) {
-	isReset := isFalse(g.revisionRaisedAt, l.ReadAt)
-	if g.hasListing && l.Revision < g.revision && !isReset {
+	if g.hasListing && l.position().Before(g.position) && !g.disproves(l) {
 		g.keepsMissing = false // the data here have come from another balancer since
-		return []Event{{Kind: EventListingIgnored, Revision: l.Revision}}, time.Time{}
+		return []Event{{Kind: EventListingIgnored, Era: l.Era, Revision: l.Revision}}, time.Time{}
 	}
-	if l.Revision < g.revision {
+	switch {
+	case g.hasListing && l.Era != g.position.Era:
+		events = append(events, g.enterEra(now, l.position()))
+	case l.position().Before(g.position):
 		events = append(events, Event{Kind: EventRevisionReset, Revision: l.Revision})
 		g.resetRevisions()
 	}
-	g.hasListing, g.revision, g.revisionRaisedAt = true, l.Revision, time.Time{}
+	g.hasListing, g.position, g.positionRaisedAt = true, l.position(), time.Time{}
 	g.listings++
-	present, upserted := g.upsertAll(now, l.Targets)
+	present, upserted := g.upsertAll(now, l.Targets, g.isHeld)
 	events = append(events, upserted...)
 	gone, keptUntil := g.markMissingGone(now, present)
 	g.keepsMissing = !keptUntil.IsZero()
+	if now.Before(g.holdUntil) {
+		// The differences are what the store lost, so the data count as current. Otherwise all
+		// followers would read the store.
+		g.keepsMissing, keptUntil = false, g.holdUntil
+	}
 	g.evictExpired(now)
 	events = append(events, gone...)
-	events = append(events, g.applyEvacuations(now, l.EvacuatedPlaces)...)
+	events = append(events, g.applyEvacuations(now, g.heldEvacuations(now, l.EvacuatedPlaces))...)
 	g.rebuildIndex()
 	return events, keptUntil
 }
@@ -260,12 +279,15 @@
 	}
 }
 
-// upsertAll adds or updates targets and returns the set of their IDs.
-func (g *registry) upsertAll(now time.Time, targets []Announcement) (present map[string]bool, events []Event) {
+// upsertAll adds or updates targets, except those for which skip is true, and returns the set of
+// their IDs.
+func (g *registry) upsertAll(now time.Time, targets []Announcement, skip func(time.Time, Announcement) bool) (present map[string]bool, events []Event) {
 	present = make(map[string]bool, len(targets))
 	for _, a := range targets {
 		present[a.ID] = true
-		events = append(events, g.upsert(now, a)...)
+		if !skip(now, a) {
+			events = append(events, g.upsert(now, a)...)
+		}
 	}
 	return present, events
 }
@@ -311,7 +333,7 @@
 		}
 		events = append(events, Event{Kind: kind, target: t, Revision: a.Revision})
 	}
-	if a.Revision != t.Revision {
+	if a.Revision != t.Revision && (t.Revision != 0 || a.Revision != t.former.revision) {
 		t.setWarmup(now, a.WarmupRemaining)
 	}
 	t.missingSince = time.Time{}
@@ -337,9 +359,9 @@
 
 // markGone marks a target as gone.
 func (g *registry) markGone(now time.Time, t *Target) Event {
-	t.goneAt, t.goneRevision = now, g.revision
+	t.goneAt, t.goneRevision = now, g.position.Revision
 	g.markChanged(t)
-	return Event{Kind: EventTargetGone, target: t, Revision: g.revision}
+	return Event{Kind: EventTargetGone, target: t, Revision: g.position.Revision}
 }
 
 // markMissingGone marks targets that are no longer listed as gone, unless their entries
