Routes: remember the era of the store that had them

After a return of the store, balancers went back to the older version of the copy: a version that another balancer had sent more than 10 s before counted as one that the store never had. The reverse also happened: a version that the operator wrote again with another content was ignored, since the store had had that version before. Both rules compare what the store has with what it had, which holds only within one era. A lower version now shows that a version is false only in the same era, and in a later era other content of the same version replaces the former one.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -190,6 +190,8 @@
 type RoutesDelta struct {
 	AfterVersion uint64
 	Version      uint64
+	// Era is the era of the store that had the routes, 0 from balancers of earlier versions.
+	Era uint64
 	// Digest is the digest of the routes of Version, by which the receiver checks the result.
 	Digest      Digest
 	IdleTimeout time.Duration
@@ -205,7 +207,7 @@
 	defer d.mu.Unlock()
 	t := d.routes
 	if afterVersion == 0 && t.version > 0 {
-		delta = RoutesDelta{Version: t.version, Digest: t.contentDigest, IdleTimeout: t.idleTimeout}
+		delta = RoutesDelta{Version: t.version, Era: t.era, Digest: t.contentDigest, IdleTimeout: t.idleTimeout}
 		for _, r := range t.current {
 			delta.Changed = append(delta.Changed, r)
 		}
@@ -214,7 +216,7 @@
 	if !t.hasApplied(afterVersion) {
 		return RoutesDelta{}, false
 	}
-	delta = RoutesDelta{AfterVersion: afterVersion, Version: t.version, Digest: t.contentDigest, IdleTimeout: t.idleTimeout}
+	delta = RoutesDelta{AfterVersion: afterVersion, Version: t.version, Era: t.era, Digest: t.contentDigest, IdleTimeout: t.idleTimeout}
 	for address, version := range t.changedVersions {
 		if version <= afterVersion {
 			continue
@@ -250,6 +252,9 @@
 	if delta.AfterVersion != d.routes.version || delta.Version <= d.routes.version {
 		return DeltaOutdated
 	}
+	if delta.Era == 0 {
+		delta.Era = d.targets.position.Era
+	}
 	set := d.routes.merge(delta)
 	if set.digest() != delta.Digest {
 		d.addDataEvents(d.targets.asOf, Event{Kind: EventRoutesMismatch, Revision: delta.Version, RoutesDigest: d.routes.contentDigest})
@@ -269,7 +274,7 @@
 	for _, address := range delta.Removed {
 		replaced[address] = true
 	}
-	set := RouteSet{Version: delta.Version, IdleTimeout: delta.IdleTimeout, Routes: delta.Changed}
+	set := RouteSet{Version: delta.Version, Era: delta.Era, IdleTimeout: delta.IdleTimeout, Routes: delta.Changed}
 	for address, r := range t.current {
 		if !replaced[address] {
 			set.Routes = append(set.Routes, r)
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -145,7 +145,7 @@
 			d.targets.rebuildIndex()
 		}
 	} else if isFromStore && set.Version == d.routes.version {
-		d.routes.isFromStore = true // the store has confirmed the routes
+		d.routes.isFromStore, d.routes.era = true, set.Era // the store has confirmed the routes
 	}
 	d.addDataEvents(d.targets.asOf, Event{Kind: kind, Revision: set.Version, RoutesDigest: d.routes.contentDigest})
 	d.signalReady()
--- a/internal/coordination/dsr/routes.go
+++ b/internal/coordination/dsr/routes.go
@@ -61,6 +61,8 @@
 	Routes  []*Route
 	// IdleTimeout is how long a flow is kept after its last packet.
 	IdleTimeout time.Duration
+	// Era is the era of the store that had the routes.
+	Era uint64
 	// ReadAt is when the read of the routes was begun, zero if its response may be the copy of an
 	// earlier one and thus cannot show that a higher version never existed.
 	ReadAt time.Time
@@ -94,6 +96,8 @@
 	// isFromStore is set if the current routes were read from the store, not received from
 	// another balancer.
 	isFromStore bool
+	// era is the era of the store that had the current routes.
+	era uint64
 	// receivedAt is when another balancer sent the current routes.
 	receivedAt time.Time
 	// recentVersions holds the latest versions that were applied here, in ascending order.
@@ -122,15 +126,17 @@
 }
 
 // replaces reports whether a set of routes takes the place of the current one: a newer version
-// does, and the store's routes of a version replace different ones that another balancer sent.
+// does, and the store's routes of a version replace different ones that another balancer sent or that
+// the store had before it returned from an older copy. A version of an earlier era stays: the copy
+// may lack it until the operator has written it again.
 func (t *routeTable) replaces(set RouteSet, isFromStore bool) bool {
 	if set.Version < t.version {
-		return isFromStore && !t.isFromStore && isFalse(t.receivedAt, set.ReadAt)
+		return isFromStore && !t.isFromStore && set.Era == t.era && isFalse(t.receivedAt, set.ReadAt)
 	}
 	if set.Version > t.version {
 		return true
 	}
-	return isFromStore && !t.isFromStore && set.Version > 0 && set.digest() != t.contentDigest
+	return isFromStore && (!t.isFromStore || set.Era > t.era) && set.Version > 0 && set.digest() != t.contentDigest
 }
 
 // apply replaces the current routes and reports whether the set of services that they name has
@@ -143,7 +149,7 @@
 	if set.Version != t.version {
 		t.recentVersions = append(t.recentVersions[max(len(t.recentVersions)-maxRecentVersions+1, 0):], set.Version)
 	}
-	t.version, t.idleTimeout, t.isFromStore = set.Version, set.IdleTimeout, isFromStore
+	t.version, t.era, t.idleTimeout, t.isFromStore = set.Version, set.Era, set.IdleTimeout, isFromStore
 	t.contentDigest = set.digest()
 	t.current = set.byAddress()
 	t.flowLimits, t.coldLimits = make(map[string]int), make(map[string]coldLimit)
