Feed: followers compare the era of their parent's data

A follower compared revisions of different eras with its parent's. After a return of the store it ignored a parent that had read the store anew, whose revision was lower, and read the store itself; and it took older data, and a confirmation of its own, from a parent that had been paused.

The era in each answer to a probe would exceed the budget of control traffic (2,040 of 2,048 bytes a second are used). Probes and their answers keep their size. A parent of an earlier version, which sends no era, is taken to be in the follower's.

--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -43,6 +43,9 @@
 	AsOf time.Time
 }
 
+// Position returns the state of the store of the data.
+func (s Summary) Position() Position { return Position{s.Era, s.Revision} }
+
 // Summary returns how recent the data are. ok is false until routes and targets are known.
 func (d *Dispatcher) Summary() (s Summary, ok bool) {
 	d.mu.Lock()
@@ -101,10 +104,7 @@
 }
 
 func (g *registry) applyDelta(now time.Time, delta Delta) (applied bool, events []Event) {
-	position := Position{delta.Era, delta.Revision}
-	if position.Era == 0 {
-		position.Era = g.position.Era
-	}
+	position := Position{delta.Era, delta.Revision}.orEra(g.position.Era)
 	if g.hasListing && position.Before(g.position) {
 		return false, []Event{{Kind: EventListingIgnored, Era: position.Era, Revision: position.Revision}}
 	}
@@ -161,11 +161,15 @@
 }
 
 // ConfirmAsOf records that the data matched another balancer's, which matched the store at
-// the given time, when the store was at least at the given revision of the era of the data here.
-func (d *Dispatcher) ConfirmAsOf(now, asOf time.Time, revision uint64) {
+// the given time, when the store was at least at the given position. It does nothing if the data
+// here are of another era by now.
+func (d *Dispatcher) ConfirmAsOf(now, asOf time.Time, p Position) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.targets.raisePosition(now, Position{d.targets.position.Era, revision})
+	if p.Era != d.targets.position.Era {
+		return
+	}
+	d.targets.raisePosition(now, p)
 	d.targets.confirm(asOf)
 }
 
--- a/internal/coordination/dsr/delta_test.go
+++ b/internal/coordination/dsr/delta_test.go
@@ -109,8 +109,8 @@
 	b := newTestBalancer(t, 3)
 	listedAt := b.now
 	b.advance(3 * time.Second)
-	b.d.ConfirmAsOf(b.now, listedAt.Add(time.Second), 0)
-	b.d.ConfirmAsOf(b.now, listedAt, 0)
+	b.d.ConfirmAsOf(b.now, listedAt.Add(time.Second), Position{})
+	b.d.ConfirmAsOf(b.now, listedAt, Position{})
 	s, ok := b.d.Summary()
 	assert.Assert(t, ok)
 	assert.Equal(t, s.AsOf, listedAt.Add(time.Second))
--- a/internal/transport/feed/convert.go
+++ b/internal/transport/feed/convert.go
@@ -32,7 +32,7 @@
 }
 
 func encodeRoutesDelta(d dsr.RoutesDelta) *wire.FeedRoutesResponse {
-	response := &wire.FeedRoutesResponse{Version: d.Version, Digest: uint64(d.Digest), IdleTimeoutMs: d.IdleTimeout.Milliseconds()}
+	response := &wire.FeedRoutesResponse{Version: d.Version, Digest: uint64(d.Digest), Era: d.Era, IdleTimeoutMs: d.IdleTimeout.Milliseconds()}
 	for _, r := range d.Changed {
 		route := &wire.FeedRoute{
 			Name:      r.Name,
@@ -61,7 +61,7 @@
 }
 
 func decodeRoutesDelta(afterVersion uint64, response *wire.FeedRoutesResponse) (dsr.RoutesDelta, error) {
-	d := dsr.RoutesDelta{AfterVersion: afterVersion, Version: response.GetVersion(), Digest: dsr.Digest(response.GetDigest()), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
+	d := dsr.RoutesDelta{AfterVersion: afterVersion, Version: response.GetVersion(), Era: response.GetEra(), Digest: dsr.Digest(response.GetDigest()), IdleTimeout: milliseconds(response.GetIdleTimeoutMs())}
 	for _, route := range response.GetChanged() {
 		address, err := decodeEndpoint(route.GetIp(), route.GetPort())
 		if err != nil {
@@ -105,6 +105,7 @@
 	response := &wire.FeedTargetsResponse{
 		Epoch:    d.Epoch,
 		Change:   d.ChangeSequence,
+		Era:      d.Era,
 		Revision: d.Revision,
 		Full:     d.Full,
 		Gone:     d.Gone,
@@ -134,6 +135,7 @@
 	d := dsr.Delta{
 		Epoch:          response.GetEpoch(),
 		ChangeSequence: response.GetChange(),
+		Era:            response.GetEra(),
 		Revision:       response.GetRevision(),
 		Full:           response.GetFull(),
 		Gone:           response.GetGone(),
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -106,6 +106,8 @@
 	// because the listing may differ from the parent's data.
 	parentEpoch          uint64
 	parentChangeSequence uint64
+	// eraEpoch is the latest epoch whose era is known, eraOfEpoch its era.
+	eraEpoch, eraOfEpoch uint64
 	ownListings          uint64
 	fetching             bool
 	// differs is set while the data here are known to differ from the parent's although their
--- a/internal/transport/feed/fetch.go
+++ b/internal/transport/feed/fetch.go
@@ -40,7 +40,10 @@
 		s.log(level.Warn, "failed to fetch from the parent", "parent", parent.VM, "err", err)
 		return
 	}
-	s.confirmAsOf(parent, asOf, state.GetRevision())
+	ownSummary, _ := s.options.Dispatcher.Summary()
+	if position, isKnown := s.parentPosition(state, ownSummary); isKnown {
+		s.confirmAsOf(parent, asOf, position)
+	}
 }
 
 // errOlderResponse means that a response has older data than the parent had when it answered the
@@ -102,8 +105,11 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.eraEpoch, s.eraOfEpoch = delta.Epoch, delta.Era
+	s.mu.Unlock()
 	if !s.options.Dispatcher.ApplyDelta(s.options.Now(), delta) {
-		return errors.New("the targets of the parent are of an older platform revision than those here")
+		return errors.New("the targets of the parent are of an older state of the platform than those here")
 	}
 	s.mu.Lock()
 	s.parentEpoch, s.parentChangeSequence = delta.Epoch, delta.ChangeSequence
--- a/internal/transport/feed/state.go
+++ b/internal/transport/feed/state.go
@@ -56,7 +56,8 @@
 		s.follower.EndStart()
 		return
 	}
-	if state.GetRevision() != 0 && state.GetRevision() < ownSummary.Revision {
+	position, isKnown := s.parentPosition(state, ownSummary)
+	if isKnown && state.GetRevision() != 0 && position.Before(ownSummary.Position()) {
 		return // the parent's data are older than those here
 	}
 	newRoutes := state.GetRoutesVersion() > ownSummary.RoutesVersion
@@ -73,7 +74,7 @@
 	}
 	if needed == (fetchPlan{}) {
 		if ownSummary.RoutesVersion == state.GetRoutesVersion() {
-			s.confirmAsOf(parent, asOf, state.GetRevision())
+			s.confirmAsOf(parent, asOf, position)
 		}
 		return // a parent with older routes lags behind, so its answer confirms nothing
 	}
@@ -81,6 +82,20 @@
 	go s.fetchFromParent(ctx, parent, asOf, state, needed)
 }
 
+// parentPosition returns the position of the parent's data. It is not known while the parent has an
+// epoch from which nothing was fetched yet. The caller holds mu.
+func (s *Service) parentPosition(state *wire.FeedState, own dsr.Summary) (p dsr.Position, isKnown bool) {
+	p.Revision = state.GetRevision()
+	if state.GetEpoch() != s.eraEpoch {
+		return p, false
+	}
+	p.Era = s.eraOfEpoch
+	if p.Era == 0 {
+		p.Era = own.Era // a parent of an earlier version does not send it
+	}
+	return p, true
+}
+
 // compareDigests compares the data here with the digests in an answer of the parent, if it has
 // any, and reports which of them differ although their versions agree. The caller holds mu.
 func (s *Service) compareDigests(state *wire.FeedState, own dsr.Summary, newTargets bool) (routesDiffer, targetsDiffer bool) {
@@ -101,13 +116,13 @@
 }
 
 // confirmAsOf records that the data here match those of the parent, which matched the
-// platform's at asOf, at the given revision or a later one. While the data differ, it records
+// platform's at asOf, at the given position or a later one. While the data differ, it records
 // only that the parent answers. The caller holds mu.
-func (s *Service) confirmAsOf(parent feed.Member, asOf time.Time, revision uint64) {
+func (s *Service) confirmAsOf(parent feed.Member, asOf time.Time, position dsr.Position) {
 	if s.differs {
 		s.follower.RecordAnswer(parent, time.Time{})
 		return
 	}
 	s.follower.RecordAnswer(parent, asOf)
-	s.options.Dispatcher.ConfirmAsOf(s.options.Now(), asOf, revision)
+	s.options.Dispatcher.ConfirmAsOf(s.options.Now(), asOf, position)
 }
