Store: eras that are missing, repeated, lower or no numbers

What a store says wrongly about its era must not cost changes. A target whose leave was announced again with a lower revision than before the return stayed in use for good if the store stated no era: a full read of a later state now replaces it (TestEntryOfLowerRevisionIsAppliedWithoutEra failed before).

--- a/internal/coordination/dsr/era.go
+++ b/internal/coordination/dsr/era.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// forgetLostRevisions forgets the revisions of targets whose entries in a list have a lower one, although
+// the list is of a later state: the store returned from an older copy without another era.
+func (g *registry) forgetLostRevisions(l Listing) {
+	for _, a := range l.Targets {
+		if t := g.byID[a.ID]; l.IsRead && t != nil && a.Revision < t.Revision && t.Revision <= l.Revision {
+			t.Revision = 0
+		}
+	}
+}
+
 // isHeld reports whether an announcement is taken for an older one of a known target: the copy had it,
 // the target was leaving or gone before or has restarted, and its host has not had the time to say so again.
 func (g *registry) isHeld(now time.Time, a Announcement) bool {
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -42,6 +42,9 @@
 	// ReadAt is when the read of the list was begun, zero if its response may be the copy of an
 	// earlier one and thus cannot show that a higher revision never existed.
 	ReadAt time.Time
+	// IsRead is set if the list was read from the latest state as a whole, not kept up to date by
+	// changes.
+	IsRead bool
 }
 
 func (l Listing) position() Position { return Position{l.Era, l.Revision} }
@@ -256,6 +259,7 @@
 	}
 	g.hasListing, g.position, g.positionRaisedAt = true, l.position(), time.Time{}
 	g.listings++
+	g.forgetLostRevisions(l)
 	present, upserted := g.upsertAll(now, l.Targets, g.isHeld)
 	events = append(events, upserted...)
 	gone, keptUntil := g.markMissingGone(now, present)
