Feed: after a return, large places read the store through their parents

When the store returned after an outage, all balancers of a fleet read it in the same second: their data were older than the limit, and their retries ran in step.

Entries of the member list that a return may have lost are registered anew at random times, instead of with the next regular read of the list (up to 160 s later).

TestRegistrationIsRepeatedAfterReturn fails without the new registration.

--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -39,8 +39,8 @@
 	// before it reads the platform. Callers retransmit their openers after 200 ms.
 	startTimeout = 200 * time.Millisecond
 	// minMembersForStart is the number of members of a place from which a balancer that has
-	// just started waits for its parent. The balancers of a smaller place are quicker when
-	// each reads the platform.
+	// just started, or whose platform returns after an outage, waits for its parent. The balancers
+	// of a smaller place are quicker when each reads the platform.
 	minMembersForStart = 30
 	// parentRetryDelay is how long an unresponsive parent is skipped before it is probed
 	// again.
@@ -72,6 +72,9 @@
 	membersKnown  bool
 
 	ancestors []Member
+	// isLargePlace is set if the place has so many members that they must not all read the platform
+	// at once.
+	isLargePlace bool
 	// unanswered counts the consecutive probes that were not answered.
 	unanswered        int
 	answered          bool // whether any probe was answered
@@ -92,7 +95,8 @@
 func (f *Follower) SetMembers(members []Member) {
 	f.ancestors = treeAncestors(f.self, members)
 	f.membersKnown = true
-	if len(members) < minMembersForStart {
+	f.isLargePlace = len(members) >= minMembersForStart
+	if !f.isLargePlace {
 		f.EndStart()
 	}
 }
@@ -171,6 +175,15 @@
 	return ok && f.answered && f.unanswered <= 1
 }
 
+// Depth returns the number of balancers that data pass from one that reads the platform to this one, if
+// the place is large and the parent answers. Otherwise it returns 0.
+func (f *Follower) Depth(now time.Time) int {
+	if !f.isLargePlace || !f.HasResponsiveParent(now) {
+		return 0
+	}
+	return len(f.ancestors)
+}
+
 // DataAge returns how long ago the data were last known to match the platform's, 0 if they
 // never were.
 func (f *Follower) DataAge(now time.Time) time.Duration {
--- a/internal/transport/feed/era_test.go
+++ b/internal/transport/feed/era_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/kumquatworks/kumquatworks/internal/coordination/dsr"
+	"github.com/kumquatworks/kumquatworks/internal/coordination/feed"
 )
 
 // platformState is what a node has read from the platform.
@@ -78,3 +80,29 @@
 	}
 	assert.Equal(t, follower.dispatcher.Position(), dsr.Position{Era: 2, Revision: 50})
 }
+
+// Guards against an entry in the member list that the store lost when it returned from an older copy, and
+// that is missing until the next regular read of a long list.
+func TestRegistrationIsRepeatedAfterReturn(t *testing.T) {
+	const members = 100 // the list is read every 100 s, and balancers register within 15 s of a return
+	directory := &memoryDirectory{}
+	for i := range members {
+		directory.members = append(directory.members, feed.Member{VM: fmt.Sprintf("other-%d", i), Address: freeAddress(t)})
+	}
+	n := startNode(t, "vm-1", directory)
+	isListed := func() bool {
+		list, err := directory.Members(t.Context())
+		return err == nil && feed.IsListed("vm-1", list)
+	}
+	n.read(platformState{1, 1, 100, []string{"i-1"}})
+	waitFor(t, "a read of the list with the own entry", func() bool {
+		n.service.mu.Lock()
+		defer n.service.mu.Unlock()
+		return n.service.memberCount == members+1 && n.service.membersEra == 1
+	})
+	directory.mu.Lock()
+	directory.members = directory.members[:members]
+	directory.mu.Unlock()
+	n.read(platformState{1, 2, 50, []string{"i-1"}})
+	waitFor(t, "the entry after the return", isListed)
+}
--- a/internal/transport/feed/feed.go
+++ b/internal/transport/feed/feed.go
@@ -115,6 +115,10 @@
 	differs       bool
 	readsPlatform bool
 	loss          feed.LossAggregate
+	// memberCount is the number of balancers of the place, membersEra the era of the platform when this
+	// balancer last registered.
+	memberCount int
+	membersEra  uint64
 	// firstMembersAt is when the member list was first read, memberSeenAt when a list last had a
 	// name. They are used where openers to cold targets are limited.
 	firstMembersAt time.Time
@@ -189,6 +193,14 @@
 	return s.follower.HasResponsiveParent(s.options.Now())
 }
 
+// ParentDelay returns how long data take from a balancer that reads the platform to this one. It is 0 if
+// this balancer should not wait for them.
+func (s *Service) ParentDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.follower.Depth(s.options.Now())) * s.maxAge / probesPerMaxAge
+}
+
 // Run serves followers and follows the parent until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	// Complete routes and targets are sent compressed, because links may be as slow as 10 Mbit/s.
--- a/internal/transport/feed/members.go
+++ b/internal/transport/feed/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +26,13 @@
 // leases, the members return one by one with their next read.
 const memberMemory = 5 * time.Minute
 
+// eraCheckInterval is how often a balancer checks whether the platform has returned from a copy.
+const eraCheckInterval = 500 * time.Millisecond
+
+// registrationSpreadPerMember is the time, for each balancer of the place, within which they register anew
+// after a return of the platform. Each writes twice at the most, so that five places write 67 times a second.
+const registrationSpreadPerMember = 150 * time.Millisecond
+
 // pollMembers registers this balancer and reads the member list periodically until ctx
 // ends. A read that failed or hangs is repeated when this balancer gets its first data: the
 // platform answers then, possibly only for a short time. That read does not register: when a
@@ -47,19 +55,56 @@
 			interval, retry = membersRetryDelay, firstData
 		}
 		next := time.After(interval)
-		select {
-		case <-retry:
-			_, _ = s.readMembers(ctx, nil) // if it fails, the next read follows after the usual delay
-			next = time.After(interval)
-		case <-ctx.Done():
-		case <-next:
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-next:
+		eraCheck := time.NewTicker(eraCheckInterval)
+		for waiting := true; waiting; {
+			select {
+			case <-retry:
+				retry = nil
+				_, _ = s.readMembers(ctx, nil) // if it fails, the next read follows after the usual delay
+				next = time.After(interval)
+			case <-eraCheck.C:
+				if s.platformReturned() {
+					next = time.After(s.registerAfterReturn(ctx))
+				}
+			case <-ctx.Done():
+				waiting = false
+			case <-next:
+				waiting = false
+			}
 		}
+		eraCheck.Stop()
+	}
+}
+
+// platformReturned reports whether the platform has returned from an older copy since this balancer
+// last registered.
+func (s *Service) platformReturned() bool {
+	era := s.options.Dispatcher.Position().Era
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	returned := s.membersEra != 0 && s.membersEra != era
+	s.membersEra = era
+	return returned
+}
+
+// registerAfterReturn registers this balancer anew at a random time, since all others do so too, and
+// returns the delay until the member list is read. Until then lists lack those that have not
+// registered yet.
+func (s *Service) registerAfterReturn(ctx context.Context) time.Duration {
+	s.mu.Lock()
+	spread := time.Duration(s.memberCount) * registrationSpreadPerMember
+	s.mu.Unlock()
+	delay := time.Duration(rand.Float64() * float64(spread))
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+	if err := s.options.Directory.Register(ctx, s.options.Self); err != nil && ctx.Err() == nil {
+		s.log(level.Warn, "failed to register after a return of the platform", "err", err)
+		return membersRetryDelay
 	}
+	s.log(level.Info, "registered after a return of the platform", "after_ms", delay.Milliseconds(), "spread_ms", spread.Milliseconds())
+	return spread - delay + time.Duration(rand.Float64()*float64(spread))
 }
 
 func isClosed(c <-chan struct{}) bool {
@@ -120,6 +165,7 @@
 		return
 	}
 	s.follower.SetMembers(members)
+	s.memberCount = len(members)
 	count := len(members)
 	if !feed.IsListed(s.options.Self.VM, members) {
 		count++
