status: report returns of the store on the users' platform

Metrics: kumquatworks.balancer, .store, and Era and EraSince in .state; log lines about data of another era name it.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -46,8 +46,8 @@
 
 // balancerOptions are the options of commands that query balancers.
 type balancerOptions struct {
-	Balancers    []string `long:"balancer" value-name:"ADDR" required:"yes" description:"control address:port of any balancer; repeat it to name others for the case that the first does not answer"`
-	FleetKeyFile string   `long:"fleet-key-file" value-name:"FILE" required:"yes" env:"KUMQUATWORKS_FLEET_KEY_FILE" description:"file with the fleet key, 32 to 128 hexadecimal digits as in the balancer settings"`
+	Balancers    []string `long:"balancer" value-name:"ADDR" description:"control address:port of any balancer; repeat it to name others for the case that the first does not answer"`
+	FleetKeyFile string   `long:"fleet-key-file" value-name:"FILE" env:"KUMQUATWORKS_FLEET_KEY_FILE" description:"file with the fleet key, 32 to 128 hexadecimal digits as in the balancer settings"`
 }
 
 // operatorDialer returns a client for the balancer at an address.
@@ -64,6 +64,12 @@
 
 // checkAndReadKey checks the balancer addresses and reads the fleet key.
 func (o *balancerOptions) checkAndReadKey() ([]byte, error) {
+	switch {
+	case len(o.Balancers) == 0:
+		return nil, usageError("the required flag `--balancer' was not specified")
+	case o.FleetKeyFile == "":
+		return nil, usageError("the required flag `--fleet-key-file' was not specified")
+	}
 	for _, address := range o.Balancers {
 		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
 			return nil, usageError("--balancer: %q is not an address:port such as 10.0.0.1:7600", address)
--- a/internal/cli/operator_status.go
+++ b/internal/cli/operator_status.go
@@ -16,6 +16,7 @@
 		short: "show the state of the fleet",
 		long: "Queries one balancer, and every live balancer in its member list, for generations, VMs, targets and alarms. Works while the platform is down, with any balancer. " +
 			"Figures without an age are from the balancers that were queried now; ages are in seconds. Exit codes: 0 nothing needs attention; 1 something does, listed under attention; 2 wrong use; 4 no balancer answers. " +
+			"With --metrics, it reads the metrics of balancers on the users' platform instead: whether the store has returned from an older copy, when, and which balancers have read it anew. " +
 			"Example: kumquatworks status --balancer 10.0.0.1:7600 --fleet-key-file fleet.key",
 		newCommander: func(s Streams) flags.Commander { return &statusCommand{streams: s} },
 	})
@@ -23,15 +24,19 @@
 
 type statusCommand struct {
 	balancerOptions
-	JSON     bool `long:"json" description:"print JSON"`
-	Local    bool `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns, and generations of others may be 10 s old"`
-	Targets  bool `long:"targets" description:"list every pool and target, also those that serve normally"`
-	Counters bool `long:"counters" description:"list the counters, summed over the balancers since their start"`
+	JSON     bool     `long:"json" description:"print JSON"`
+	Local    bool     `long:"local" description:"ask only the first balancer that answers; open flows are then those that it owns, and generations of others may be 10 s old"`
+	Targets  bool     `long:"targets" description:"list every pool and target, also those that serve normally"`
+	Counters bool     `long:"counters" description:"list the counters, summed over the balancers since their start"`
+	Metrics  []string `long:"metrics" value-name:"ADDR" description:"on the users' platform: metrics address:port of a balancer (its --metrics-port); repeat it for each; takes only --json besides"`
 	streams  Streams
 }
 
 // Execute queries the balancers and prints the state of the fleet.
 func (c *statusCommand) Execute([]string) error {
+	if len(c.Metrics) > 0 {
+		return c.reportStores()
+	}
 	dial, err := c.newDialer()
 	if err != nil {
 		return err
--- a/internal/coordination/dsr/dsr.go
+++ b/internal/coordination/dsr/dsr.go
@@ -207,6 +207,8 @@
 	RoutesVersion             uint64
 	// Era and Revision are the state of the store of the targets.
 	Era, Revision uint64
+	// EraSince is when this balancer first had data of the era, zero if its first data were.
+	EraSince time.Time `json:",omitzero"`
 	// RoutesDigest is a hash of the routes in force. It differs between two balancers with
 	// one version if their routes differ.
 	RoutesDigest Digest
@@ -227,7 +229,7 @@
 func (d *Dispatcher) Gauges() Gauges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Era: d.targets.position.Era, Revision: d.targets.position.Revision, LossShare: d.loss.lossRate(), Cold: d.coldTargets()}
+	g := Gauges{Flows: len(d.flows), RoutesVersion: d.routes.version, RoutesDigest: d.routes.contentDigest, TargetsDigest: d.targets.contentDigest, Era: d.targets.position.Era, EraSince: d.targets.eraSince, Revision: d.targets.position.Revision, LossShare: d.loss.lossRate(), Cold: d.coldTargets()}
 	for service, s := range d.sharing {
 		if s.isAnnounced {
 			if g.Sharing == nil {
--- a/internal/coordination/dsr/era.go
+++ b/internal/coordination/dsr/era.go
@@ -23,7 +23,7 @@
 	if p.Before(g.position) {
 		kind = EventRevisionReset
 	}
-	g.position = p
+	g.position, g.eraSince = p, now
 	g.resetRevisions()
 	g.epoch = newEpoch()
 	g.entryRevision, g.holdUntil = p.Revision, now.Add(absenceGracePeriod)
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -172,6 +172,8 @@
 	position   Position
 	hasListing bool
 	asOf       time.Time
+	// eraSince is when the first data of the era of position were applied, zero if they were the first of all.
+	eraSince time.Time
 	// positionRaisedAt is when another balancer last raised position, zero if the store did.
 	positionRaisedAt time.Time
 	// holdUntil is the time until which hosts and operator may not have written again what the store
--- a/internal/transport/direct/logs.go
+++ b/internal/transport/direct/logs.go
@@ -49,6 +49,9 @@
 	for _, e := range n.options.Dispatcher.PopEvents() {
 		n.stats.count("belief", string(e.Kind))
 		keyvals := []any{"change", e.Kind, "revision", e.Revision}
+		if e.Era != 0 {
+			keyvals = append(keyvals, "era", e.Era)
+		}
 		if e.RoutesDigest != 0 {
 			keyvals = append(keyvals, "routes_digest", e.RoutesDigest)
 		}
