--- a/internal/coordination/dsr/era.go
+++ b/internal/coordination/dsr/era.go
@@ -10,38 +10,30 @@
 // clients write again what they had written. Until they have, what this balancer knew before is
 // newer than the copy.
 
-// formerNumbers are the revisions of an announcement in an earlier era.
-type formerNumbers struct{ created, revision uint64 }
-
 // newEpoch returns a random epoch, in 32 bits to keep the answers to probes short.
 func newEpoch() uint64 { return 1 + uint64(rand.Uint32()) }
 
-// enterEra adopts the position of data of another era than the present ones. The revisions of all
-// targets lose their meaning. Followers compare epochs, so they learn of the era by a new one.
+// enterEra adopts the position of data of another era than the present ones, or of a lower revision if the
+// store went back without another era. The revisions of all targets lose their meaning. Followers
+// compare epochs, so they learn of it by a new one.
 func (g *registry) enterEra(now time.Time, p Position) Event {
 	kind := EventStoreReturned
 	if p.Before(g.position) {
 		kind = EventRevisionReset
 	}
 	g.position, g.eraSince = p, now
-	g.resetRevisions()
-	g.epoch = newEpoch()
-	g.entryRevision, g.holdUntil = p.Revision, now.Add(absenceGracePeriod)
-	g.keepMissingUntil = g.holdUntil
-	g.evacuatedBefore = maps.Clone(g.evacuatedSince)
-	return Event{Kind: kind, Era: p.Era, Revision: p.Revision}
-}
-
-// resetRevisions forgets the revisions of the targets, so that data of the present era replace all
-// of them.
-func (g *registry) resetRevisions() {
 	for _, t := range g.byID {
-		if t.Created != 0 {
-			t.former = formerNumbers{t.Created, t.Revision}
+		if t.Revision != 0 {
+			t.formerRevision = t.Revision
 		}
 		t.Created, t.Revision, t.goneRevision = 0, 0, 0
 		t.contentHash = t.Announcement.contentHash()
 	}
+	g.epoch = newEpoch()
+	g.entryRevision, g.holdUntil = p.Revision, now.Add(absenceGracePeriod)
+	g.keepMissingUntil = g.holdUntil
+	g.evacuatedBefore = maps.Clone(g.evacuatedSince)
+	return Event{Kind: kind, Era: p.Era, Revision: p.Revision}
 }
 
 // forgetLostRevisions forgets the revisions of targets whose entries in a list have a lower one, although
--- a/internal/coordination/dsr/targets.go
+++ b/internal/coordination/dsr/targets.go
@@ -80,8 +80,8 @@
 	// effectiveSlots is the number of slots with which the target counts, at most maxSlotsRatio
 	// times those of the median target of its service.
 	effectiveSlots int
-	// former holds the numbers of the announcement before the store last returned from a copy.
-	former formerNumbers
+	// formerRevision is the revision of the announcement before the store last returned from a copy.
+	formerRevision uint64
 	// firstCreated is the lowest revision at which the entry was known to be created. It may be
 	// created again after an outage of the store.
 	firstCreated uint64
@@ -129,9 +129,6 @@
 // KnownTarget is a target that a balancer knows and has not marked as gone.
 type KnownTarget struct {
 	Announcement
-	// FormerCreated is the Created of its announcement before the store last returned from an older
-	// copy, 0 if it never did.
-	FormerCreated uint64
 	// NeverAnswered is set if the target left packets unanswered, while others answered, and has
 	// answered none.
 	NeverAnswered bool
@@ -145,7 +142,7 @@
 	if t == nil || !t.goneAt.IsZero() {
 		return KnownTarget{}, false
 	}
-	return KnownTarget{Announcement: t.Announcement, FormerCreated: t.former.created, NeverAnswered: t.health.suspected() && t.health.lastSuccessAt.IsZero()}, true
+	return KnownTarget{Announcement: t.Announcement, NeverAnswered: t.health.suspected() && t.health.lastSuccessAt.IsZero()}, true
 }
 
 // tokenForID derives the token from the ID alone, so that all balancers use the same token.
@@ -252,12 +249,8 @@
 		g.keepsMissing = false // the data here have come from another balancer since
 		return []Event{{Kind: EventListingIgnored, Era: l.Era, Revision: l.Revision}}, time.Time{}
 	}
-	switch {
-	case g.hasListing && l.Era != g.position.Era:
+	if g.hasListing && (l.Era != g.position.Era || l.position().Before(g.position)) {
 		events = append(events, g.enterEra(now, l.position()))
-	case l.position().Before(g.position):
-		events = append(events, Event{Kind: EventRevisionReset, Revision: l.Revision})
-		g.resetRevisions()
 	}
 	g.hasListing, g.position, g.positionRaisedAt = true, l.position(), time.Time{}
 	g.listings++
@@ -339,7 +332,7 @@
 		}
 		events = append(events, Event{Kind: kind, target: t, Revision: a.Revision})
 	}
-	if a.Revision != t.Revision && (t.Revision != 0 || a.Revision != t.former.revision) {
+	if a.Revision != t.Revision && (t.Revision != 0 || a.Revision != t.formerRevision) {
 		t.setWarmup(now, a.WarmupRemaining)
 	}
 	t.missingSince = time.Time{}
