publish: a head with a reused revision is a conflict

The head is now read again before it is written, and its generation and digest must be those of the plan. TestReusedRevisionOfHeadIsAConflict failed before (accepted) and passes. It costs one read for each publish. What remains: a return within the milliseconds between that read and the write.

--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -78,6 +79,9 @@
 	if err := p.writeSnapshot(ctx, plan); err != nil {
 		return *failedResult("the snapshot could not be written and the head was not changed: %v", err)
 	}
+	if result := p.checkBase(ctx, plan); result != nil {
+		return *result
+	}
 	next := plan.nextHead(p.Now())
 	possiblyWritten := false
 	var lastErr error
@@ -113,6 +117,28 @@
 	return *unknownResult("the platform did not confirm whether the head was written: %v", lastErr)
 }
 
+// checkBase returns a conflict if the head is not the one on which the plan is based although it has its
+// revision: the platform returned from an older copy and gave out the revision again, so the write of the
+// head would succeed and revert the publishes since then. It returns nil otherwise.
+func (p *Publisher) checkBase(ctx context.Context, plan Plan) *Result {
+	record, err := p.Store.Get(ctx, HeadKey)
+	if err != nil || record.Revision != plan.headRevision {
+		return nil // the write of the head decides
+	}
+	head, err := DecodeHead(record.Value)
+	if err != nil || head.Generation == plan.head.Generation && head.Digest == plan.head.Digest {
+		return nil
+	}
+	if result := p.resolveFromHead(ctx, plan, head); result != nil {
+		return result
+	}
+	return &Result{
+		Outcome:    OutcomeConflict,
+		Generation: head.Generation,
+		Reasons:    []string{fmt.Sprintf("the platform returned from an older copy and has another generation %d now; this configuration was not accepted", head.Generation)},
+	}
+}
+
 // readBackResult reads the head and determines the result from it. It returns nil if the
 // result is still uncertain.
 func (p *Publisher) readBackResult(ctx context.Context, plan Plan) *Result {
