--- a/internal/cli/operator_stores.go
+++ b/internal/cli/operator_stores.go
@@ -26,7 +26,7 @@
 	// that of its data.
 	Era     uint64 `json:"era"`
 	DataEra uint64 `json:"data_era"`
-	// ReturnedAt is when the balancer saw the store's last return itself, ReadAnewAt when it first had
+	// ReturnedAt is when the balancer's own calls showed the last return, nil if they did not. ReadAnewAt is when it first had
 	// data of the era.
 	ReturnedAt *time.Time `json:"returned_at,omitempty"`
 	ReadAnewAt *time.Time `json:"read_anew_at,omitempty"`
@@ -139,6 +139,9 @@
 	if k == nil || k.Store == nil {
 		return storeView{}, errors.New("the metrics have no figures about the store; is this a balancer of the users' platform, of this version?")
 	}
+	if k.Store.Era < k.State.Era {
+		k.Store.ReturnedAt = nil // of an earlier return: a parent has supplied the data since the last one
+	}
 	return storeView{
 		VM: k.Balancer.VM, Place: k.Balancer.Place, Era: max(k.Store.Era, k.State.Era), DataEra: k.State.Era, ReturnedAt: k.Store.ReturnedAt,
 		ReadAnewAt: k.State.EraSince, Returns: int(k.Store.Returns), InvalidEra: k.Store.Invalid, Revision: k.State.Revision, Version: k.State.RoutesVersion,
--- a/internal/cli/operator_stores_test.go
+++ b/internal/cli/operator_stores_test.go
@@ -45,6 +45,9 @@
 		"vm-2: the store does not state its era", "127.0.0.1:1: does not answer", "no figures about the store"} {
 		assert.Assert(t, strings.Contains(out, part), "%q is missing in\n%s", part, out)
 	}
+	supplied := serveMetrics(t, metricsOf("vm-3", `"Era": 2, "Returns": 1, "ReturnedAt": "2026-12-07T04:00:00Z"`, `"RoutesVersion": 17, "Era": 3, "EraSince": "2026-12-07T05:00:02Z"`))
+	_, out, _ = run("--metrics", supplied)
+	assert.Assert(t, !strings.Contains(out, "04:00:00"), "an earlier return is shown\n%s", out)
 	code, out, _ = run("--json", "--metrics", former)
 	assert.Equal(t, code, ExitFailure)
 	assert.Assert(t, strings.Contains(out, `"data_era": 1`), out)
