Clean up the change about returns of the store

Read as a whole, without a change of behaviour: the registry looked up every target after each watch response for rules that hold only after a full read, or within 2.5 s of a return; it decides that first now. cmp.Or replaces three hand-written choices of an era. The wait of pollMembers is a function of its own. queryMembers and the queries of metrics share one loop with bounded concurrency, and one check of addresses.

Tests of cli, dsr, transport/feed, and those of eras, herd, watches and targets in platform pass.

--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -70,12 +70,20 @@
 	case o.FleetKeyFile == "":
 		return nil, usageError("the required flag `--fleet-key-file' was not specified")
 	}
-	for _, address := range o.Balancers {
+	if err := checkBalancerAddresses("--balancer", o.Balancers, "10.0.0.1:7600"); err != nil {
+		return nil, err
+	}
+	return readFleetKey(o.FleetKeyFile)
+}
+
+// checkBalancerAddresses checks the values of an option that takes addresses of balancers.
+func checkBalancerAddresses(option string, addresses []string, example string) error {
+	for _, address := range addresses {
 		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
-			return nil, usageError("--balancer: %q is not an address:port such as 10.0.0.1:7600", address)
+			return usageError("%s: %q is not an address:port such as %s", option, address, example)
 		}
 	}
-	return readFleetKey(o.FleetKeyFile)
+	return nil
 }
 
 func readFleetKey(path string) ([]byte, error) {
@@ -129,26 +137,32 @@
 func queryMembers(ctx context.Context, dial operatorDialer, members []*wire.Member) (map[string]*wire.StatusResponse, map[string]error) {
 	responses, failures := map[string]*wire.StatusResponse{}, map[string]error{}
 	var mu sync.Mutex
+	queryConcurrently(members, func(_ int, m *wire.Member) {
+		status, err := queryStatus(ctx, dial, m.Control)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			failures[m.Vm] = err
+			return
+		}
+		responses[m.Vm] = status
+	})
+	return responses, failures
+}
+
+// queryConcurrently calls query for each balancer, at most maxConcurrentRequests at a time, and waits
+// for all calls.
+func queryConcurrently[T any](balancers []T, query func(i int, balancer T)) {
 	var workers sync.WaitGroup
 	semaphore := make(chan struct{}, maxConcurrentRequests)
-	for _, m := range members {
-		workers.Add(1)
+	for i, b := range balancers {
 		semaphore <- struct{}{}
-		go func() {
-			defer workers.Done()
+		workers.Go(func() {
 			defer func() { <-semaphore }()
-			status, err := queryStatus(ctx, dial, m.Control)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				failures[m.Vm] = err
-				return
-			}
-			responses[m.Vm] = status
-		}()
+			query(i, b)
+		})
 	}
 	workers.Wait()
-	return responses, failures
 }
 
 // isLive reports whether a member takes part in the fleet: it is alive, suspected or leaving.
--- a/internal/cli/operator_stores.go
+++ b/internal/cli/operator_stores.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,10 +48,8 @@
 	if len(c.Balancers) > 0 || c.Local || c.Targets || c.Counters {
 		return usageError("--metrics takes only --json besides")
 	}
-	for _, address := range c.Metrics {
-		if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 {
-			return usageError("--metrics: %q is not an address:port such as 10.0.0.1:9464", address)
-		}
+	if err := checkBalancerAddresses("--metrics", c.Metrics, "10.0.0.1:9464"); err != nil {
+		return err
 	}
 	ctx, stop := signalContext()
 	defer stop()
@@ -76,21 +72,14 @@
 // queryStoreViews reads the metrics of the balancers, in the order of their addresses.
 func queryStoreViews(ctx context.Context, addresses []string) []storeView {
 	views := make([]storeView, len(addresses))
-	var workers sync.WaitGroup
-	semaphore := make(chan struct{}, maxConcurrentRequests)
-	for i, address := range addresses {
-		semaphore <- struct{}{}
-		workers.Go(func() {
-			defer func() { <-semaphore }()
-			view, err := queryStoreView(ctx, address)
-			if err != nil {
-				view = storeView{Error: err.Error()}
-			}
-			view.Address = address
-			views[i] = view
-		})
-	}
-	workers.Wait()
+	queryConcurrently(addresses, func(i int, address string) {
+		view, err := queryStoreView(ctx, address)
+		if err != nil {
+			view = storeView{Error: err.Error()}
+		}
+		view.Address = address
+		views[i] = view
+	})
 	return views
 }
 
--- a/internal/coordination/dsr/delta.go
+++ b/internal/coordination/dsr/delta.go
@@ -1,6 +1,7 @@
 package dsr
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/kumquatworks/kumquatworks/internal/protocol"
@@ -104,7 +105,7 @@
 }
 
 func (g *registry) applyDelta(now time.Time, delta Delta) (applied bool, events []Event) {
-	position := Position{delta.Era, delta.Revision}.orEra(g.position.Era)
+	position := Position{cmp.Or(delta.Era, g.position.Era), delta.Revision}
 	if g.hasListing && position.Before(g.position) {
 		return false, []Event{{Kind: EventListingIgnored, Era: position.Era, Revision: position.Revision}}
 	}
@@ -256,9 +257,7 @@
 	if delta.AfterVersion != d.routes.version || delta.Version <= d.routes.version {
 		return DeltaOutdated
 	}
-	if delta.Era == 0 {
-		delta.Era = d.targets.position.Era
-	}
+	delta.Era = cmp.Or(delta.Era, d.targets.position.Era)
 	set := d.routes.merge(delta)
 	if set.digest() != delta.Digest {
 		d.addDataEvents(d.targets.asOf, Event{Kind: EventRoutesMismatch, Revision: delta.Version, RoutesDigest: d.routes.contentDigest})
--- a/internal/coordination/dsr/era.go
+++ b/internal/coordination/dsr/era.go
@@ -39,8 +39,11 @@
 // forgetLostRevisions forgets the revisions of targets whose entries in a list have a lower one, although
 // the list is of a later state: the store returned from an older copy without another era.
 func (g *registry) forgetLostRevisions(l Listing) {
+	if !l.IsRead {
+		return
+	}
 	for _, a := range l.Targets {
-		if t := g.byID[a.ID]; l.IsRead && t != nil && a.Revision < t.Revision && t.Revision <= l.Revision {
+		if t := g.byID[a.ID]; t != nil && a.Revision < t.Revision && t.Revision <= l.Revision {
 			t.Revision = 0
 		}
 	}
@@ -49,8 +52,11 @@
 // isHeld reports whether an announcement is taken for an older one of a known target: the copy had it,
 // the target was leaving or gone before or has restarted, and its host has not had the time to say so again.
 func (g *registry) isHeld(now time.Time, a Announcement) bool {
+	if !now.Before(g.holdUntil) || a.Revision > g.entryRevision {
+		return false
+	}
 	t := g.byID[a.ID]
-	if t == nil || !now.Before(g.holdUntil) || a.Revision > g.entryRevision || a.Started > t.Started {
+	if t == nil || a.Started > t.Started {
 		return false
 	}
 	return !t.goneAt.IsZero() || t.Draining && !a.Draining || a.Started < t.Started
--- a/internal/coordination/dsr/position.go
+++ b/internal/coordination/dsr/position.go
@@ -7,14 +7,6 @@
 // not name a state. An era of 0 is unknown.
 type Position struct{ Era, Revision uint64 }
 
-// orEra returns p with the given era if its own is unknown.
-func (p Position) orEra(era uint64) Position {
-	if p.Era == 0 {
-		p.Era = era
-	}
-	return p
-}
-
 // Before reports whether p is an earlier state than q.
 func (p Position) Before(q Position) bool {
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision)) < 0
--- a/internal/transport/feed/members.go
+++ b/internal/transport/feed/members.go
@@ -54,25 +54,31 @@
 			s.log(level.Warn, "failed to register or to read the member list", "err", err)
 			interval, retry = membersRetryDelay, firstData
 		}
-		next := time.After(interval)
-		eraCheck := time.NewTicker(eraCheckInterval)
-		for waiting := true; waiting; {
-			select {
-			case <-retry:
-				retry = nil
-				_, _ = s.readMembers(ctx, nil) // if it fails, the next read follows after the usual delay
-				next = time.After(interval)
-			case <-eraCheck.C:
-				if s.platformReturned() {
-					next = time.After(s.registerAfterReturn(ctx))
-				}
-			case <-ctx.Done():
-				waiting = false
-			case <-next:
-				waiting = false
+		s.awaitNextRead(ctx, interval, retry)
+	}
+}
+
+// awaitNextRead waits for an interval, or until ctx ends. A read that failed is repeated once retry is
+// closed. After a return of the platform, this balancer registers anew, and the interval is another one.
+func (s *Service) awaitNextRead(ctx context.Context, interval time.Duration, retry <-chan struct{}) {
+	next := time.After(interval)
+	eraCheck := time.NewTicker(eraCheckInterval)
+	defer eraCheck.Stop()
+	for {
+		select {
+		case <-retry:
+			retry = nil
+			_, _ = s.readMembers(ctx, nil) // if it fails, the next read follows after the usual delay
+			next = time.After(interval)
+		case <-eraCheck.C:
+			if s.platformReturned() {
+				next = time.After(s.registerAfterReturn(ctx))
 			}
+		case <-ctx.Done():
+			return
+		case <-next:
+			return
 		}
-		eraCheck.Stop()
 	}
 }
 
--- a/internal/transport/feed/state.go
+++ b/internal/transport/feed/state.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net/netip"
@@ -85,15 +86,11 @@
 // parentPosition returns the position of the parent's data. It is not known while the parent has an
 // epoch from which nothing was fetched yet. The caller holds mu.
 func (s *Service) parentPosition(state *wire.FeedState, own dsr.Summary) (p dsr.Position, isKnown bool) {
-	p.Revision = state.GetRevision()
 	if state.GetEpoch() != s.eraEpoch {
-		return p, false
+		return dsr.Position{}, false
 	}
-	p.Era = s.eraOfEpoch
-	if p.Era == 0 {
-		p.Era = own.Era // a parent of an earlier version does not send it
-	}
-	return p, true
+	// A parent of an earlier version does not send its era.
+	return dsr.Position{Era: cmp.Or(s.eraOfEpoch, own.Era), Revision: state.GetRevision()}, true
 }
 
 // compareDigests compares the data here with the digests in an answer of the parent, if it has
