--- a/internal/cli/operator_stores.go
+++ b/internal/cli/operator_stores.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,8 +54,9 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
-	report := newStoresReport(queryStoreViews(ctx, c.Metrics))
-	if report.Era == 0 && len(report.Attention) >= len(c.Metrics) {
+	views := queryStoreViews(ctx, c.Metrics)
+	report := newStoresReport(views)
+	if !slices.ContainsFunc(views, func(v storeView) bool { return v.Error == "" }) {
 		return &ExitError{Code: ExitUnknown, Err: errors.Errorf("no balancer answers: %s", report.Attention[0])}
 	}
 	var err error
--- a/internal/cli/operator_stores_test.go
+++ b/internal/cli/operator_stores_test.go
@@ -51,6 +51,9 @@
 	code, out, _ = run("--json", "--metrics", former)
 	assert.Equal(t, code, ExitFailure)
 	assert.Assert(t, strings.Contains(out, `"data_era": 1`), out)
+	code, out, errOut = run("--metrics", serveMetrics(t, metricsOf("vm-4", `"Era": 0, "Invalid": true`, `"RoutesVersion": 17`)))
+	assert.Equal(t, code, ExitFailure, "a balancer whose store states no era counts as silent: %s", errOut)
+	assert.Assert(t, strings.Contains(out, "vm-4: the store does not state its era"), out)
 	code, _, _ = run("--metrics", "127.0.0.1:1")
 	assert.Equal(t, code, ExitUnknown)
 	for _, args := range [][]string{{"--metrics", "nowhere"}, {"--metrics", anew, "--local"}, {"--metrics", anew, "--balancer", anew}, {"--fleet-key-file", "x"}, {"--balancer", anew}} {
